--- /dev/null
+++ b/include/common/error.h
@@ -0,0 +1,63 @@
+#ifndef PARSLEYLADDER_COMMON_ERROR_H
+#define PARSLEYLADDER_COMMON_ERROR_H
+
+/**
+ * Closed list of error kinds, and the answer that each kind gets.
+ */
+
+#include <stdbool.h>
+
+enum error_kind {
+	ERROR_NONE,
+	ERROR_USAGE, /* wrong command line */
+	ERROR_SETTINGS, /* settings file unreadable or invalid */
+	ERROR_CONFIGURATION, /* a revision that fails validation */
+	ERROR_STALE, /* a revision or version lower than the one in force */
+	ERROR_ADDRESS_IN_USE, /* another process has the port */
+	ERROR_IO, /* a system call failed */
+	ERROR_PLATFORM, /* the platform is unreachable or answers nonsense */
+	ERROR_PEER, /* a peer message is malformed or unauthenticated */
+	ERROR_PACKET, /* a packet is malformed */
+	ERROR_LIMIT, /* a configured limit is reached */
+	ERROR_NOT_FOUND, /* no such service, flow, host or member */
+	ERROR_TIMEOUT, /* no answer in time */
+	ERROR_INTERNAL, /* a broken invariant of this process */
+	ERROR_KINDS,
+};
+
+/** What the process does about an error of one kind. */
+enum error_action {
+	ERROR_ACTION_NONE,
+	ERROR_ACTION_EXIT, /* end the process with the exit code */
+	ERROR_ACTION_KEEP, /* keep the state in force, count and log */
+	ERROR_ACTION_RETRY, /* try again with backoff */
+	ERROR_ACTION_DROP, /* drop the packet or message and count it */
+	ERROR_ACTION_REFUSE, /* answer the caller with a refusal */
+};
+
+struct error_answer {
+	const char *name; /* as it appears in logs and dumps */
+	enum error_action action;
+	int exit_code; /* of a command that ends with this error */
+	int http_status; /* of an administration request that meets it */
+};
+
+/** Longest detail text of an error, in bytes with the terminating NUL. */
+#define ERROR_DETAIL_BYTES 512
+
+struct error {
+	enum error_kind kind;
+	char detail[ERROR_DETAIL_BYTES];
+};
+
+/** Returns the row of the answer table for @kind; never NULL. */
+const struct error_answer *error_answer(enum error_kind kind);
+
+/**
+ * Fills @error, which may be NULL, with a formatted detail.
+ * Returns false, so that a caller can write `return error_set(...)`.
+ */
+bool error_set(struct error *error, enum error_kind kind, const char *format,
+	       ...) __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/include/core/message.h
@@ -0,0 +1,93 @@
+#ifndef PARSLEYLADDER_CORE_MESSAGE_H
+#define PARSLEYLADDER_CORE_MESSAGE_H
+
+/**
+ * Messages between the decision cores of two members. Their wire form is the
+ * business of peer/message_codec.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum core_message_kind {
+	CORE_MESSAGE_LOAD, /* open flows by host of the sender */
+	CORE_MESSAGE_MAP_PROPOSAL, /* coordinator to members */
+	CORE_MESSAGE_MAP_ACKNOWLEDGEMENT,
+	CORE_MESSAGE_MAP_COMMIT,
+	CORE_MESSAGE_MAP_REQUEST, /* a member lacks a map or is behind */
+	CORE_MESSAGE_MAP_DIGEST, /* versions of maps held by the sender */
+	CORE_MESSAGE_RECORDS, /* owner to replicas */
+	CORE_MESSAGE_SHARD_PULL, /* new owner to the previous one */
+	CORE_MESSAGE_SHARD_STATE, /* records of one shard, in pieces */
+	CORE_MESSAGE_SHARD_RELEASE, /* the previous owner has stopped deciding */
+	CORE_MESSAGE_ANSWERS, /* hosts of flows that were passed on */
+	CORE_MESSAGE_KINDS,
+};
+
+/** Order of sending when the control budget is short; lowest value first. */
+enum message_priority {
+	MESSAGE_PRIORITY_HEARTBEAT,
+	MESSAGE_PRIORITY_RECORDS,
+	MESSAGE_PRIORITY_MAP,
+	MESSAGE_PRIORITY_REVISION,
+	MESSAGE_PRIORITY_SHARD,
+	MESSAGE_PRIORITY_ANSWER,
+	MESSAGE_PRIORITIES,
+};
+
+/** Total order of bucket maps of one service: fields compared in this order. */
+struct map_version {
+	uint64_t revision;
+	uint32_t sequence;
+	uint64_t coordinator_id;
+};
+
+struct host_load {
+	uint32_t host_id;
+	int32_t open_flows; /* may be negative: a FIN can meet another member */
+};
+
+enum flow_record_flag {
+	FLOW_RECORD_ENDED = 0x01, /* the flow is closed, forget the record */
+	FLOW_RECORD_UDP = 0x02,
+};
+
+struct flow_record {
+	uint64_t flow_hash;
+	uint32_t service_id;
+	uint32_t host_id;
+	uint8_t flags;
+};
+
+/**
+ * One message. Arrays belong to whoever built the message; a receiver copies
+ * what it keeps.
+ */
+struct core_message {
+	enum core_message_kind kind;
+	uint32_t service_id; /* MAP_* */
+	struct map_version version; /* MAP_* */
+	uint16_t shard; /* SHARD_* */
+	uint8_t is_last; /* SHARD_STATE: no further piece follows */
+	uint8_t is_committed; /* MAP_PROPOSAL: already committed */
+	/* MAP_PROPOSAL: table of bucket_count entries each. */
+	uint32_t bucket_count;
+	const uint32_t *base; /* host ids */
+	const uint32_t *target; /* host ids */
+	const uint8_t *open; /* one byte a bucket, 0 or 1 */
+	/* LOAD */
+	const struct host_load *loads;
+	size_t load_count;
+	/* MAP_DIGEST: versions, one a service. */
+	const struct map_digest {
+		uint32_t service_id;
+		struct map_version version;
+		uint8_t is_committed;
+	} * digests;
+	size_t digest_count;
+	/* RECORDS, SHARD_STATE, ANSWERS */
+	const struct flow_record *records;
+	size_t record_count;
+};
+
+#endif
--- /dev/null
+++ b/include/edge/edge.h
@@ -0,0 +1,72 @@
+#ifndef PARSLEYLADDER_EDGE_EDGE_H
+#define PARSLEYLADDER_EDGE_EDGE_H
+
+/**
+ * Batched UDP socket in the default GLib main loop. GUE variant 1 carries the
+ * inner IP packet directly as the UDP payload
+ * (draft-ietf-intarea-gue, section 4), so nothing is added on the wire.
+ */
+
+#include <gio/gio.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/socket.h>
+
+#include "common/error.h"
+
+/** Datagrams of one receive or send system call. */
+#define EDGE_BATCH 64
+/** Longest datagram, in bytes. */
+#define EDGE_DATAGRAM_BYTES 2048
+
+struct edge;
+
+struct edge_options {
+	const char *address; /* IPv4 or IPv6 text */
+	uint16_t port; /* 0 lets the kernel choose one */
+	uint32_t receive_buffer_bytes; /* 0 keeps the kernel's default */
+	/**
+	 * Called for each datagram. @data has EDGE_HEADROOM_BYTES of writable
+	 * room before it and is valid until the callback returns.
+	 */
+	void (*on_datagram)(void *context, uint8_t *data, size_t length,
+			    const struct sockaddr_storage *source);
+	/** Called after the last datagram of a batch; may be NULL. */
+	void (*on_batch_end)(void *context);
+	void *context;
+};
+
+#define EDGE_HEADROOM_BYTES 64
+
+/** Counters of one edge, in datagrams but for the bytes. */
+struct edge_counters {
+	uint64_t received;
+	uint64_t received_bytes;
+	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t send_errors;
+	uint64_t truncated; /* longer than EDGE_DATAGRAM_BYTES, dropped */
+};
+
+/** Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_IO). */
+struct edge *edge_create(const struct edge_options *options,
+			 struct error *error);
+void edge_destroy(struct edge *edge);
+/** Port that the socket is bound to, host byte order. */
+uint16_t edge_port(const struct edge *edge);
+/**
+ * Queues one datagram of @length bytes; it is sent by the next edge_flush(),
+ * at the end of the receive batch, or when EDGE_BATCH datagrams are queued.
+ * @data may point into the datagram under on_datagram, headroom included; it
+ * is not copied and must stay unchanged until the flush.
+ */
+void edge_send(struct edge *edge, const struct sockaddr *destination,
+	       socklen_t destination_bytes, const uint8_t *data, size_t length);
+/** Like edge_send(), but copies @data. */
+void edge_send_copy(struct edge *edge, const struct sockaddr *destination,
+		    socklen_t destination_bytes, const uint8_t *data,
+		    size_t length);
+void edge_flush(struct edge *edge);
+const struct edge_counters *edge_counters(const struct edge *edge);
+
+#endif
--- /dev/null
+++ b/include/parsleyladder/command.h
@@ -0,0 +1,22 @@
+#ifndef PARSLEYLADDER_PARSLEYLADDER_COMMAND_H
+#define PARSLEYLADDER_PARSLEYLADDER_COMMAND_H
+
+/**
+ * Commands of the binary. Each one parses its own arguments with argp and
+ * returns an exit code (see error_answer()).
+ */
+
+struct command {
+	const char *name;
+	const char *summary;
+	int (*run)(int argc, char **argv);
+};
+
+/** Returns NULL if there is no command @name. */
+const struct command *command_find(const char *name);
+/** Prints name and summary of every command to the standard output. */
+void command_list(void);
+
+int command_version(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/parsleyladder/command.c
@@ -0,0 +1,31 @@
+#include "parsleyladder/command.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Sorted by name for bsearch(). */
+static const struct command commands[] = {
+	{ "version", "print the version", command_version },
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
+
+static int command_compare(const void *key, const void *element)
+{
+	const struct command *command = element;
+
+	return strcmp(key, command->name);
+}
+
+const struct command *command_find(const char *name)
+{
+	return bsearch(name, commands, COMMAND_COUNT, sizeof(commands[0]),
+		       command_compare);
+}
+
+void command_list(void)
+{
+	for (size_t i = 0; i < COMMAND_COUNT; i++)
+		printf("  %-14s %s\n", commands[i].name, commands[i].summary);
+}
--- /dev/null
+++ b/tests/common/test_error.c
@@ -0,0 +1,59 @@
+/* Guards against an error kind that has no row in the answer table. */
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/error.h"
+
+START_TEST(every_kind_has_an_answer) {
+	const struct error_answer *answer = error_answer(_i);
+
+	ck_assert_ptr_nonnull(answer->name);
+	ck_assert_int_ge(answer->http_status, 200);
+	if (_i == ERROR_NONE)
+		ck_assert_int_eq(answer->exit_code, 0);
+	else
+		ck_assert_int_gt(answer->exit_code, 0);
+}
+END_TEST
+
+START_TEST(unknown_kind_is_internal) {
+	ck_assert_str_eq(error_answer(ERROR_KINDS)->name, "internal");
+}
+END_TEST
+
+START_TEST(set_without_error_is_allowed) {
+	ck_assert(!error_set(NULL, ERROR_IO, "ignored"));
+}
+END_TEST
+
+START_TEST(long_detail_is_cut) {
+	char text[2 * ERROR_DETAIL_BYTES];
+	struct error error;
+
+	memset(text, 'x', sizeof(text) - 1);
+	text[sizeof(text) - 1] = '\0';
+	ck_assert(!error_set(&error, ERROR_IO, "%s", text));
+	ck_assert_uint_eq(strlen(error.detail), ERROR_DETAIL_BYTES - 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("error");
+	TCase *tests = tcase_create("answers");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tests, every_kind_has_an_answer, 0, ERROR_KINDS);
+	tcase_add_test(tests, unknown_kind_is_internal);
+	tcase_add_test(tests, set_without_error_is_allowed);
+	tcase_add_test(tests, long_detail_is_cut);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
