Name the address that refusals are sent to in the settings

A refusal for a packet that was passed on cannot go back to the source of its datagram, which is the other balancer. Ruled out: carrying the fabric's address in the pass header, which a peer could forge. Change: settings fabric_address and fabric_port. No behaviour yet, nothing measured.

--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -30,6 +30,9 @@
 	uint16_t data_port;
 	uint16_t pass_port;
 	uint16_t peer_port;
+	/* Where packets towards callers (refusals) are sent, in GUE. */
+	char fabric_address[IP_ADDRESS_TEXT_BYTES];
+	uint16_t fabric_port;
 	char admin_address[IP_ADDRESS_TEXT_BYTES];
 	uint16_t admin_port;
 	char admin_token[NAME_BYTES_MAX + 1]; /* "" = none asked for */
