--- /dev/null
+++ b/include/admin/admin.h
@@ -0,0 +1,44 @@
+#ifndef PARSLEYLADDER_ADMIN_ADMIN_H
+#define PARSLEYLADDER_ADMIN_ADMIN_H
+
+/**
+ * Read-only administration API: JSON over local HTTP, in the default GLib main
+ * loop. It changes nothing; operators act by publishing a configuration.
+ */
+
+#include <json-glib/json-glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/error.h"
+#include "packet/packet.h"
+
+struct admin;
+
+struct admin_options {
+	const char *address; /* IP address text */
+	uint16_t port; /* 0 lets the kernel choose one */
+	const char *token; /* bearer token, NULL or "" for none */
+	/** GET /v1/state: adds one JSON value, the whole state. */
+	void (*print_state)(void *context, JsonBuilder *builder);
+	/** GET /v1/members: adds one JSON value. */
+	void (*print_members)(void *context, JsonBuilder *builder);
+	/** GET /v1/services/NAME; false with ERROR_NOT_FOUND if unknown. */
+	bool (*print_service)(void *context, const char *name,
+			      JsonBuilder *builder, struct error *error);
+	/** GET /v1/explain: adds one JSON value about the flow. */
+	bool (*print_explain)(void *context, const struct flow_key *key,
+			      JsonBuilder *builder, struct error *error);
+	/** GET /v1/counters: appends lines "name value\n". */
+	void (*print_counters)(void *context, GString *text);
+	void *context;
+};
+
+/** Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_SETTINGS). */
+struct admin *admin_create(const struct admin_options *options,
+			   struct error *error);
+void admin_destroy(struct admin *admin);
+/** Port that the server listens on. */
+uint16_t admin_port(const struct admin *admin);
+
+#endif
--- a/include/edge/edge.h
+++ b/include/edge/edge.h
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "common/error.h"
+#include "packet/packet.h"
 
 /** Datagrams of one receive or send system call. */
 #define EDGE_BATCH 64
@@ -44,13 +45,21 @@
 	uint64_t received_bytes;
 	uint64_t sent;
 	uint64_t sent_bytes;
-	uint64_t send_errors;
+	uint64_t send_errors; /* refused by the kernel and dropped */
+	uint64_t send_blocked; /* dropped because the send buffer was full */
+	/* "Connection refused" reported for an earlier datagram; ignored. */
+	uint64_t connection_refused;
+	uint64_t receive_errors;
 	uint64_t truncated; /* longer than EDGE_DATAGRAM_BYTES, dropped */
 };
 
-/** Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_IO). */
+/**
+ * Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_IO, or
+ * ERROR_SETTINGS if the address is no IP address).
+ */
 struct edge *edge_create(const struct edge_options *options,
 			 struct error *error);
+/** Not to be called from a callback of @edge. Queued datagrams are dropped. */
 void edge_destroy(struct edge *edge);
 /** Port that the socket is bound to, host byte order. */
 uint16_t edge_port(const struct edge *edge);
@@ -58,7 +67,9 @@
  * Queues one datagram of @length bytes; it is sent by the next edge_flush(),
  * at the end of the receive batch, or when EDGE_BATCH datagrams are queued.
  * @data may point into the datagram under on_datagram, headroom included; it
- * is not copied and must stay unchanged until the flush.
+ * is not copied and must stay unchanged until the flush. A datagram of another
+ * edge is valid until that edge's on_batch_end returns, so flush there.
+ * A datagram that the kernel does not take at once is dropped and counted.
  */
 void edge_send(struct edge *edge, const struct sockaddr *destination,
 	       socklen_t destination_bytes, const uint8_t *data, size_t length);
@@ -67,6 +78,16 @@
 		    socklen_t destination_bytes, const uint8_t *data,
 		    size_t length);
 void edge_flush(struct edge *edge);
+/**
+ * Fills @out with the form of an address that the socket of @edge can send to
+ * (IPv4-mapped if the socket is IPv6); returns its length in bytes.
+ */
+socklen_t edge_destination(const struct edge *edge,
+			   const struct ip_address *address, uint16_t port,
+			   struct sockaddr_storage *out);
+/** Address and port, host byte order, of a datagram's source. */
+void edge_source(const struct sockaddr_storage *source,
+		 struct ip_address *address, uint16_t *port);
 const struct edge_counters *edge_counters(const struct edge *edge);
 
 #endif
