Add the peer protocol: codec, membership, transport and keygen

Cause: the balancer process needs a wire form, a membership view and a transport before the decision cores of two members can talk.

Ruled out: nested msgpack arrays, since the unpacker allocates by the claimed count; messages are flat arrays, and tables and records are binary fields.

Change: common/token_bucket, package peer, command keygen. The view is rejoining from the start too, until the peers acknowledged the incarnation or nobody answered for 3 s, because a process that starts would else own everything before it has heard anybody.

Before: no package.

Conclusion: the interfaces are ready for wiring; tests follow.

--- /dev/null
+++ b/include/common/token_bucket.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYLADDER_COMMON_TOKEN_BUCKET_H
+#define PARSLEYLADDER_COMMON_TOKEN_BUCKET_H
+
+/**
+ * Token bucket: allows a rate per second with a burst. The caller passes the
+ * time in, in nanoseconds of any monotonic clock.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct token_bucket {
+	uint32_t rate_per_s;
+	uint32_t burst;
+	int64_t tokens; /* below 0 after token_bucket_force() */
+	int64_t updated_ns;
+};
+
+/** Starts full. A rate of 0 never refills. */
+void token_bucket_init(struct token_bucket *bucket, uint32_t rate_per_s,
+		       uint32_t burst, int64_t now_ns);
+/** Tokens at @now_ns; negative while a forced amount is being paid off. */
+int64_t token_bucket_available(struct token_bucket *bucket, int64_t now_ns);
+/** Takes @amount if all of it is there. */
+bool token_bucket_take(struct token_bucket *bucket, int64_t now_ns,
+		       uint32_t amount);
+/** Takes @amount in any case; the debt never exceeds one burst. */
+void token_bucket_force(struct token_bucket *bucket, int64_t now_ns,
+			uint32_t amount);
+
+#endif
--- a/include/parsleyladder/command.h
+++ b/include/parsleyladder/command.h
@@ -17,6 +17,7 @@
 /** Prints name and summary of every command to the standard output. */
 void command_list(void);
 
+int command_keygen(int argc, char **argv);
 int command_version(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/include/peer/field_codec.h
@@ -0,0 +1,51 @@
+#ifndef PARSLEYLADDER_PEER_FIELD_CODEC_H
+#define PARSLEYLADDER_PEER_FIELD_CODEC_H
+
+/**
+ * A flat msgpack array of integers, strings and binary fields. Nested arrays
+ * and maps are refused, so that decoding never allocates by a claimed count.
+ */
+
+#include <glib.h>
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** One msgpack byte encodes array lengths up to this. */
+#define FIELDS_MAX 15
+
+struct field_writer {
+	msgpack_packer packer;
+	GByteArray *out;
+};
+
+/** @writer must stay at its address. */
+void field_writer_init(struct field_writer *writer, GByteArray *out,
+		       unsigned int field_count);
+void field_write_uint(struct field_writer *writer, uint64_t value);
+void field_write_bytes(struct field_writer *writer, const void *data,
+		       size_t length);
+/** Writes @bytes and frees it. */
+void field_write_array(struct field_writer *writer, GByteArray *bytes);
+void field_write_text(struct field_writer *writer, const char *text);
+
+/** Fields of a received array; binary and text fields point into the input. */
+struct field_reader {
+	msgpack_object fields[FIELDS_MAX];
+	unsigned int count;
+	unsigned int next;
+	bool is_bad; /* a field was missing, of another type or out of range */
+};
+
+/** False if @data is not exactly one flat array. */
+bool field_reader_init(struct field_reader *reader, const uint8_t *data,
+		       size_t length);
+uint64_t field_read_uint(struct field_reader *reader, uint64_t max);
+const uint8_t *field_read_bytes(struct field_reader *reader, size_t *length);
+/** Copies a text of at most @max bytes without NUL; NULL if there is none. */
+char *field_read_text(struct field_reader *reader, size_t max);
+/** True if every field was read and none was bad. */
+bool field_reader_is_done(const struct field_reader *reader);
+
+#endif
--- a/include/peer/membership.h
+++ b/include/peer/membership.h
@@ -59,9 +59,18 @@
 			   bool is_listed);
 void membership_handle(struct membership *membership, uint64_t sender_id,
 		       const struct heartbeat *heartbeat);
-/** Runs timers and detects pauses. Call it every 100 ms or more often. */
+/**
+ * Runs timers and detects pauses. Call it every 100 ms or more often, and first
+ * of all after a wait for events, so that no packet is decided on the view from
+ * before a pause.
+ */
 void membership_tick(struct membership *membership);
-/** Tells peers that this instance holds its state and may own shards. */
+/**
+ * Tells peers that this instance holds its state and may own shards. Ignored
+ * while the view is rejoining, that is from the start or a pause until the peers
+ * have acknowledged the new incarnation, or nobody has answered for 3 s. A pause
+ * sets the state back to joining, so this is called again after each one.
+ */
 void membership_set_active(struct membership *membership);
 /** Announces a graceful shutdown to all peers. */
 void membership_leave(struct membership *membership);
--- a/parsleyladder/command.c
+++ b/parsleyladder/command.c
@@ -6,6 +6,7 @@
 
 /* Sorted by name for bsearch(). */
 static const struct command commands[] = {
+	{ "keygen", "print a new key pair for peers", command_keygen },
 	{ "version", "print the version", command_version },
 };
 
