--- a/peer/core_message_codec.c
+++ b/peer/core_message_codec.c
@@ -106,8 +106,8 @@
 	message->bucket_count = count;
 	dictionary = field_read_bytes(reader, &dictionary_bytes);
 	field = field_read_bytes(reader, &length);
-	if (reader->is_bad || count == 0)
-		return count == 0 && !reader->is_bad;
+	if (reader->is_bad)
+		return false;
 	message->base = table_decode(field, length, count, NULL, dictionary,
 				     dictionary_bytes);
 	field = field_read_bytes(reader, &length);
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -42,11 +42,18 @@
 	wire_write_varint(out, ((uint64_t)value << 1) ^ sign);
 }
 
+/* Nothing is left then, so that loops over the rest of the input end. */
+static void reader_fail(struct wire_reader *reader)
+{
+	reader->is_bad = true;
+	reader->left = 0;
+}
+
 /* Copies @count bytes, or zeroes if they are not there. */
 static void wire_read(struct wire_reader *reader, void *out, size_t count)
 {
 	if (reader->is_bad || reader->left < count) {
-		reader->is_bad = true;
+		reader_fail(reader);
 		memset(out, 0, count);
 		return;
 	}
@@ -92,7 +99,7 @@
 		if (!(byte & 0x80))
 			return reader->is_bad ? 0 : value;
 	}
-	reader->is_bad = true;
+	reader_fail(reader);
 	return 0;
 }
 
@@ -108,7 +115,7 @@
 	uint64_t value = wire_read_varint(reader);
 
 	if (value > max) {
-		reader->is_bad = true;
+		reader_fail(reader);
 		return 0;
 	}
 	return (uint32_t)value;
