Read settings and configurations with checked fields

Cause: no process can start without its settings and a validated revision, and the other packages are wired on both.

Ruled out: one hand-written reader per object, since type, range and default would be repeated in reader, printer and manual page. Handing text to json-glib unchecked, since it recurses without bound, replaces a member that occurs twice and wraps integers over 64 bits; json_text.c checks the text first.

Change: tables of fields drive reading, defaults, errors and printing; settings; parts, revisions and their cross-checks; lookup of a service by address in an open-addressing table; examples. A service needs a host and an address.

No speed was measured.

Conclusion: the interfaces are ready for wiring.

--- /dev/null
+++ b/configuration/field_reader.c
@@ -0,0 +1,423 @@
+#include "configuration/field_reader.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "configuration/configuration.h"
+#include "packet/packet.h"
+
+/** Longest part of a bad value that an error message repeats, in bytes. */
+#define VALUE_BYTES_MAX 64
+
+#define Z85_CHARACTERS                         \
+	"0123456789abcdefghijklmnopqrstuvwxyz" \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()[]{}@%$#"
+#define Z85_KEY_BYTES 40
+
+void field_reader_init(struct field_reader *reader, const char *source,
+		       enum error_kind kind, struct error *error)
+{
+	reader->source = source;
+	reader->kind = kind;
+	reader->error = error;
+	reader->path = g_string_new("$");
+}
+
+void field_reader_clear(struct field_reader *reader)
+{
+	g_string_free(reader->path, TRUE);
+	reader->path = NULL;
+}
+
+static bool fail_at(const struct field_reader *reader, const char *path,
+		    const char *format, va_list arguments)
+{
+	char problem[ERROR_DETAIL_BYTES];
+
+	g_vsnprintf(problem, sizeof(problem), format, arguments);
+	return error_set(reader->error, reader->kind, "%s: %s: %s",
+			 reader->source, path, problem);
+}
+
+bool field_reader_fail(const struct field_reader *reader, const char *format,
+		       ...)
+{
+	va_list arguments;
+
+	va_start(arguments, format);
+	fail_at(reader, reader->path->str, format, arguments);
+	va_end(arguments);
+	return false;
+}
+
+bool field_reader_fail_at(const struct field_reader *reader, const char *path,
+			  const char *format, ...)
+{
+	va_list arguments;
+
+	va_start(arguments, format);
+	fail_at(reader, path, format, arguments);
+	va_end(arguments);
+	return false;
+}
+
+/** Fails with the value of @node, the problem and what @field allows. */
+static bool fail_value(const struct field_reader *reader,
+		       const struct field *field, JsonNode *node,
+		       const char *problem)
+{
+	GString *allowed = g_string_new(NULL);
+	char *value = field->is_secret ? g_strdup("(secret)")
+				       : json_to_string(node, FALSE);
+
+	if (strlen(value) > VALUE_BYTES_MAX) {
+		char *end =
+			g_utf8_find_prev_char(value, value + VALUE_BYTES_MAX);
+
+		*end = '\0';
+	}
+	field_print_allowed(field, allowed);
+	field_reader_fail(reader, "%s %s, allowed %s", value, problem,
+			  allowed->str);
+	g_free(value);
+	g_string_free(allowed, TRUE);
+	return false;
+}
+
+bool name_is_valid(const char *name)
+{
+	size_t length = strlen(name);
+
+	if (length == 0 || length > NAME_BYTES_MAX || !g_ascii_isalnum(name[0]))
+		return false;
+	for (size_t i = 0; i < length; i++) {
+		if (!g_ascii_isalnum(name[i]) && !strchr("._-", name[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool text_is_printable(const char *text)
+{
+	if (!g_utf8_validate(text, -1, NULL))
+		return false;
+	for (; *text; text++) {
+		if (g_ascii_iscntrl(*text))
+			return false;
+	}
+	return true;
+}
+
+static bool url_is_valid(const char *text)
+{
+	GUri *uri;
+	bool is_valid;
+
+	if (!*text)
+		return true;
+	uri = g_uri_parse(text, G_URI_FLAGS_NONE, NULL);
+	if (!uri)
+		return false;
+	is_valid = strcmp(g_uri_get_scheme(uri), "http") == 0 &&
+		   g_uri_get_host(uri) && *g_uri_get_host(uri) &&
+		   !g_uri_get_query(uri) && !g_uri_get_fragment(uri);
+	g_uri_unref(uri);
+	return is_valid;
+}
+
+static bool key_is_valid(const char *text)
+{
+	size_t length = strlen(text);
+
+	return length == 0 || (length == Z85_KEY_BYTES &&
+			       strspn(text, Z85_CHARACTERS) == length);
+}
+
+static bool text_is_valid(const struct field *field, const char *text)
+{
+	struct ip_address address;
+	int64_t length = (int64_t)strlen(text);
+
+	switch (field->type) {
+	case FIELD_NAME:
+		return name_is_valid(text);
+	case FIELD_ADDRESS:
+	case FIELD_ADDRESS_TEXT:
+		return ip_address_parse(text, &address);
+	case FIELD_KEY:
+	case FIELD_KEY_LIST:
+		return key_is_valid(text) && (length > 0 || field->min == 0);
+	case FIELD_URL:
+		return length <= field->max && url_is_valid(text);
+	default:
+		return length >= field->min && length <= field->max &&
+		       text_is_printable(text);
+	}
+}
+
+/** Text of @node if it is a valid one for @field, else NULL. */
+static const char *read_text(const struct field_reader *reader,
+			     const struct field *field, JsonNode *node)
+{
+	const char *text;
+
+	if (json_node_get_value_type(node) != G_TYPE_STRING) {
+		fail_value(reader, field, node, "is not a string");
+		return NULL;
+	}
+	text = json_node_get_string(node);
+	if (text_is_valid(field, text))
+		return text;
+	fail_value(reader, field, node, "is not valid");
+	return NULL;
+}
+
+static void store_integer(const struct field *field, void *target,
+			  int64_t value)
+{
+	void *member = (char *)target + field->offset;
+
+	switch (field->size) {
+	case sizeof(uint8_t):
+		*(uint8_t *)member = (uint8_t)value;
+		break;
+	case sizeof(uint16_t):
+		*(uint16_t *)member = (uint16_t)value;
+		break;
+	case sizeof(uint32_t):
+		*(uint32_t *)member = (uint32_t)value;
+		break;
+	default:
+		*(uint64_t *)member = (uint64_t)value;
+		break;
+	}
+}
+
+static bool read_integer(const struct field_reader *reader,
+			 const struct field *field, JsonNode *node,
+			 void *target)
+{
+	int64_t value;
+
+	if (json_node_get_value_type(node) != G_TYPE_INT64)
+		return fail_value(reader, field, node, "is not an integer");
+	value = json_node_get_int(node);
+	if (value < field->min || value > field->max)
+		return fail_value(reader, field, node, "is out of range");
+	store_integer(field, target, value);
+	return true;
+}
+
+static bool read_choice(const struct field_reader *reader,
+			const struct field *field, JsonNode *node, void *target)
+{
+	const char *text;
+
+	if (json_node_get_value_type(node) != G_TYPE_STRING)
+		return fail_value(reader, field, node, "is not a string");
+	text = json_node_get_string(node);
+	for (const struct field_choice *choice = field->choices; choice->name;
+	     choice++) {
+		if (strcmp(choice->name, text) != 0)
+			continue;
+		store_integer(field, target, choice->value);
+		return true;
+	}
+	return fail_value(reader, field, node, "is not known");
+}
+
+static JsonArray *read_list(const struct field_reader *reader,
+			    const struct field *field, JsonNode *node)
+{
+	JsonArray *array;
+	int64_t length;
+
+	if (!JSON_NODE_HOLDS_ARRAY(node)) {
+		fail_value(reader, field, node, "is not a list");
+		return NULL;
+	}
+	array = json_node_get_array(node);
+	length = json_array_get_length(array);
+	if (length >= field->min && length <= field->max)
+		return array;
+	field_reader_fail(reader,
+			  "%" G_GINT64_FORMAT " elements, allowed "
+			  "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+			  length, field->min, field->max);
+	return NULL;
+}
+
+static bool read_texts(struct field_reader *reader, const struct field *field,
+		       JsonNode *node, void *target)
+{
+	/* Each element is checked as a text of 1 to 255 bytes, or a key. */
+	struct field element = { .type = field->type, .min = 1, .max = 255 };
+	JsonArray *array = read_list(reader, field, node);
+	size_t path_bytes = reader->path->len;
+	char **texts;
+	guint length;
+
+	if (!array)
+		return false;
+	length = json_array_get_length(array);
+	texts = g_new0(char *, length + 1);
+	g_strfreev(*(char ***)((char *)target + field->offset));
+	*(char ***)((char *)target + field->offset) = texts;
+	for (guint i = 0; i < length; i++) {
+		const char *text;
+
+		g_string_append_printf(reader->path, "[%u]", i);
+		text = read_text(reader, &element,
+				 json_array_get_element(array, i));
+		if (!text)
+			return false;
+		texts[i] = g_strdup(text);
+		g_string_truncate(reader->path, path_bytes);
+	}
+	return true;
+}
+
+static bool read_objects(struct field_reader *reader, const struct field *field,
+			 JsonNode *node, void *target)
+{
+	const struct field_table *table = field->element;
+	JsonArray *array = read_list(reader, field, node);
+	size_t path_bytes = reader->path->len;
+	char *elements;
+	guint length;
+
+	if (!array)
+		return false;
+	length = json_array_get_length(array);
+	elements = g_malloc0_n(MAX(length, 1), table->struct_bytes);
+	*(void **)((char *)target + field->offset) = elements;
+	*(size_t *)((char *)target + field->count_offset) = length;
+	for (guint i = 0; i < length; i++) {
+		JsonNode *element = json_array_get_element(array, i);
+
+		g_string_append_printf(reader->path, "[%u]", i);
+		if (!JSON_NODE_HOLDS_OBJECT(element))
+			return field_reader_fail(reader, "is not an object");
+		if (!field_reader_read(reader, table,
+				       json_node_get_object(element),
+				       elements + i * table->struct_bytes))
+			return false;
+		g_string_truncate(reader->path, path_bytes);
+	}
+	return true;
+}
+
+static bool read_value(struct field_reader *reader, const struct field *field,
+		       JsonNode *node, void *target)
+{
+	char *member = (char *)target + field->offset;
+	const char *text;
+
+	switch (field->type) {
+	case FIELD_INTEGER:
+		return read_integer(reader, field, node, target);
+	case FIELD_CHOICE:
+		return read_choice(reader, field, node, target);
+	case FIELD_OBJECT_LIST:
+		return read_objects(reader, field, node, target);
+	case FIELD_TEXT_LIST:
+	case FIELD_KEY_LIST:
+		return read_texts(reader, field, node, target);
+	default:
+		break;
+	}
+	text = read_text(reader, field, node);
+	if (!text)
+		return false;
+	if (field->type == FIELD_ADDRESS)
+		return ip_address_parse(text, (struct ip_address *)member);
+	g_strlcpy(member, text, field->size);
+	return true;
+}
+
+/** Gives a missing field its default. */
+static bool read_default(struct field_reader *reader, const struct field *field,
+			 void *target)
+{
+	char *member = (char *)target + field->offset;
+	GString *allowed;
+
+	if (field->is_required) {
+		allowed = g_string_new(NULL);
+		field_print_allowed(field, allowed);
+		field_reader_fail(reader, "is missing, allowed %s",
+				  allowed->str);
+		g_string_free(allowed, TRUE);
+		return false;
+	}
+	switch (field->type) {
+	case FIELD_INTEGER:
+	case FIELD_CHOICE:
+		store_integer(field, target, field->integer_default);
+		break;
+	case FIELD_TEXT_LIST:
+	case FIELD_KEY_LIST:
+		*(char ***)member = g_new0(char *, 1);
+		break;
+	case FIELD_ADDRESS:
+	case FIELD_OBJECT_LIST:
+		break;
+	default:
+		if (field->text_default)
+			g_strlcpy(member, field->text_default, field->size);
+		break;
+	}
+	return true;
+}
+
+static bool has_field(const struct field_table *table, const char *name)
+{
+	for (size_t i = 0; i < table->field_count; i++) {
+		if (strcmp(table->fields[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool check_unknown(struct field_reader *reader,
+			  const struct field_table *table, JsonObject *object)
+{
+	GList *names = json_object_get_members(object);
+	bool is_known = true;
+
+	for (GList *name = names; name && is_known; name = name->next) {
+		is_known = has_field(table, name->data);
+		if (is_known)
+			continue;
+		g_string_append_printf(reader->path, ".%.*s", VALUE_BYTES_MAX,
+				       (const char *)name->data);
+		field_reader_fail(reader, "unknown field");
+	}
+	g_list_free(names);
+	return is_known;
+}
+
+bool field_reader_read(struct field_reader *reader,
+		       const struct field_table *table, JsonObject *object,
+		       void *target)
+{
+	size_t path_bytes = reader->path->len;
+
+	if (!check_unknown(reader, table, object))
+		return false;
+	for (size_t i = 0; i < table->field_count; i++) {
+		const struct field *field = &table->fields[i];
+		JsonNode *node = json_object_get_member(object, field->name);
+		bool is_read;
+
+		g_string_append_printf(reader->path, ".%s", field->name);
+		if (node)
+			is_read = read_value(reader, field, node, target);
+		else
+			is_read = read_default(reader, field, target);
+		if (!is_read)
+			return false;
+		g_string_truncate(reader->path, path_bytes);
+	}
+	return true;
+}
--- /dev/null
+++ b/configuration/json_text.c
@@ -0,0 +1,208 @@
+#include "configuration/json_text.h"
+
+#include <string.h>
+
+struct scan {
+	const char *at;
+	const char *end;
+	size_t line;
+	size_t depth;
+	bool has_root;
+	const char *problem;
+};
+
+static bool scan_fail(struct scan *scan, const char *problem)
+{
+	scan->problem = problem;
+	return false;
+}
+
+static bool scan_string(struct scan *scan)
+{
+	for (scan->at++; scan->at < scan->end; scan->at++) {
+		if (*scan->at == '"') {
+			scan->at++;
+			return true;
+		}
+		if ((unsigned char)*scan->at < ' ')
+			return scan_fail(scan, "control character in a string");
+		if (*scan->at != '\\')
+			continue;
+		/* Strings end at NUL in C, so the rest would be ignored. */
+		if (scan->end - scan->at >= 6 &&
+		    memcmp(scan->at, "\\u0000", 6) == 0)
+			return scan_fail(scan, "NUL character in a string");
+		scan->at++;
+	}
+	return scan_fail(scan, "string has no end");
+}
+
+static bool scan_number(struct scan *scan)
+{
+	const char *start = scan->at;
+	const char *digits;
+
+	while (scan->at < scan->end && *scan->at &&
+	       strchr("0123456789+-.eE", *scan->at))
+		scan->at++;
+	if (scan->at - start > JSON_TEXT_NUMBER_BYTES_MAX)
+		return scan_fail(scan, "number is longer than 18 characters");
+	digits = *start == '-' ? start + 1 : start;
+	if (digits == scan->at || !g_ascii_isdigit(*digits))
+		return scan_fail(scan, "number without a digit");
+	if (scan->at - digits > 1 && digits[0] == '0' &&
+	    g_ascii_isdigit(digits[1]))
+		return scan_fail(scan, "number starts with 0");
+	return true;
+}
+
+static bool scan_word(struct scan *scan)
+{
+	static const char *const words[] = { "true", "false", "null" };
+	size_t left = (size_t)(scan->end - scan->at);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
+		size_t length = strlen(words[i]);
+
+		if (left < length || memcmp(scan->at, words[i], length) != 0)
+			continue;
+		scan->at += length;
+		return true;
+	}
+	return scan_fail(scan, "unexpected character");
+}
+
+static bool scan_bracket(struct scan *scan)
+{
+	if (*scan->at == '{' || *scan->at == '[') {
+		scan->has_root = true;
+		if (++scan->depth > JSON_TEXT_DEPTH_MAX)
+			return scan_fail(scan, "nested deeper than 16 levels");
+	} else if (scan->depth-- == 0) {
+		return scan_fail(scan, "bracket is closed but not open");
+	}
+	scan->at++;
+	return true;
+}
+
+static bool scan_token(struct scan *scan)
+{
+	char c = *scan->at;
+
+	if (c == '\n')
+		scan->line++;
+	if (strchr(" \t\r\n", c)) {
+		scan->at++;
+		return true;
+	}
+	if (scan->depth == 0 && scan->has_root)
+		return scan_fail(scan, "text after the end of the object");
+	if (scan->depth == 0 && c != '{')
+		return scan_fail(scan, "an object is expected");
+	if (strchr("{}[]", c))
+		return scan_bracket(scan);
+	if (c == '"')
+		return scan_string(scan);
+	if (c == '-' || g_ascii_isdigit(c))
+		return scan_number(scan);
+	if (c != ',' && c != ':')
+		return scan_word(scan);
+	scan->at++;
+	return true;
+}
+
+static bool scan_text(struct scan *scan)
+{
+	if (!g_utf8_validate(scan->at, scan->end - scan->at, NULL))
+		return scan_fail(scan, "text is not UTF-8");
+	while (scan->at < scan->end) {
+		if (!scan_token(scan))
+			return false;
+	}
+	if (!scan->has_root || scan->depth > 0)
+		return scan_fail(scan, "text ends within an object");
+	return true;
+}
+
+struct member_count {
+	GHashTable *by_object; /* JsonObject to members met */
+	bool has_duplicate;
+	guint line;
+};
+
+static void on_object_member(JsonParser *parser, JsonObject *object,
+			     const char *name, gpointer context)
+{
+	struct member_count *count = context;
+	guint members =
+		GPOINTER_TO_UINT(g_hash_table_lookup(count->by_object, object));
+
+	(void)name;
+	g_hash_table_insert(count->by_object, object,
+			    GUINT_TO_POINTER(++members));
+	/* json-glib replaces a member that occurs twice without notice. */
+	if (members == json_object_get_size(object) || count->has_duplicate)
+		return;
+	count->has_duplicate = true;
+	count->line = json_parser_get_current_line(parser);
+}
+
+static void on_object_end(JsonParser *parser, JsonObject *object,
+			  gpointer context)
+{
+	struct member_count *count = context;
+
+	(void)parser;
+	g_hash_table_remove(count->by_object, object);
+}
+
+static JsonNode *parse(JsonParser *parser, const char *source, const char *data,
+		       size_t length, enum error_kind kind, struct error *error)
+{
+	struct member_count count = { .by_object =
+					      g_hash_table_new(NULL, NULL) };
+	GError *reason = NULL;
+	JsonNode *root = NULL;
+
+	g_signal_connect(parser, "object-member", G_CALLBACK(on_object_member),
+			 &count);
+	g_signal_connect(parser, "object-end", G_CALLBACK(on_object_end),
+			 &count);
+	if (!json_parser_load_from_data(parser, data, (gssize)length, &reason))
+		error_set(error, kind, "%s: %s", source, reason->message);
+	else if (count.has_duplicate)
+		error_set(error, kind, "%s: line %u: field occurs twice",
+			  source, count.line);
+	else
+		root = json_parser_steal_root(parser);
+	if (root && !JSON_NODE_HOLDS_OBJECT(root)) {
+		error_set(error, kind, "%s: an object is expected", source);
+		json_node_unref(root);
+		root = NULL;
+	}
+	g_clear_error(&reason);
+	g_hash_table_unref(count.by_object);
+	return root;
+}
+
+JsonNode *json_text_parse(const char *source, const char *data, size_t length,
+			  enum error_kind kind, struct error *error)
+{
+	struct scan scan = { .at = data, .end = data + length, .line = 1 };
+	JsonParser *parser;
+	JsonNode *root;
+
+	if (length == 0) {
+		error_set(error, kind, "%s: text is empty", source);
+		return NULL;
+	}
+	if (!scan_text(&scan)) {
+		error_set(error, kind, "%s: line %zu: %s", source, scan.line,
+			  scan.problem);
+		return NULL;
+	}
+	parser = json_parser_new();
+	root = parse(parser, source, data, length, kind, error);
+	g_object_unref(parser);
+	return root;
+}
--- a/include/configuration/configuration.h
+++ b/include/configuration/configuration.h
@@ -19,6 +19,8 @@
 /** Largest value that the platform holds, in bytes. */
 #define CONFIGURATION_PART_BYTES_MAX (1024 * 1024)
 
+struct field_table;
+
 enum spread_policy {
 	SPREAD_FEWEST_MOVES,
 	SPREAD_EVEN_LOAD,
@@ -40,7 +42,7 @@
 	/* Excess over the mean that an even-load host may have, in 1/1000. */
 	uint32_t even_load_margin_permille;
 	enum zone_preference zone_preference;
-	/* Load over the mean at which local_first spills, in 1/1000. */
+	/* Excess over the mean at which local_first spills, in 1/1000. */
 	uint32_t spill_permille;
 	uint32_t new_flows_per_second; /* fleet-wide limit, 0 = none */
 	uint32_t drain_s;
@@ -82,6 +84,12 @@
 	size_t host_count;
 };
 
+/** Slot of the hash table from service address to service. */
+struct address_slot {
+	const struct service_address *address; /* NULL if empty */
+	const struct service *service;
+};
+
 struct configuration {
 	uint64_t revision;
 	uint64_t digest; /* of the index, see docs/design.md */
@@ -91,6 +99,9 @@
 	size_t service_count;
 	/* Parts as published, name to GBytes, kept for peers that ask. */
 	GHashTable *parts;
+	/* Open addressing, a power of 2 of slots, for one lookup per packet. */
+	struct address_slot *address_slots;
+	size_t address_slot_mask;
 	gint references;
 };
 
@@ -104,7 +115,10 @@
 struct configuration *configuration_ref(struct configuration *configuration);
 void configuration_unref(struct configuration *configuration);
 
-/** Reads a configuration from files; each file name maps to a part by content. */
+/**
+ * Reads a configuration from files; each file maps to a part by its content.
+ * Errors name the file.
+ */
 struct configuration *configuration_load_files(char *const *paths,
 					       size_t path_count,
 					       uint64_t revision,
@@ -123,6 +137,13 @@
 const struct host *service_host_by_id(const struct service *service,
 				      uint32_t host_id);
 
+/** True for the part names "profiles" and "service/NAME". */
+bool configuration_part_name_is_valid(const char *part_name);
+/** Fields of a profile, an address, a host and a service. */
+const struct field_table *configuration_profile_fields(void);
+const struct field_table *configuration_address_fields(void);
+const struct field_table *configuration_host_fields(void);
+const struct field_table *configuration_service_fields(void);
 /** Digest of one part's bytes: XXH3 64-bit. */
 uint64_t configuration_part_digest(GBytes *part);
 /** Digest over the sorted "name=digest" lines of @parts. */
--- /dev/null
+++ b/include/configuration/json_text.h
@@ -0,0 +1,26 @@
+#ifndef PARSLEYLADDER_CONFIGURATION_JSON_TEXT_H
+#define PARSLEYLADDER_CONFIGURATION_JSON_TEXT_H
+
+/**
+ * Strict JSON text (RFC 8259) to an object. json-glib accepts more than JSON
+ * and recurses without bound, so the text is checked before it is parsed.
+ */
+
+#include <json-glib/json-glib.h>
+#include <stddef.h>
+
+#include "common/error.h"
+
+/** Deepest nesting of objects and arrays. */
+#define JSON_TEXT_DEPTH_MAX 16
+/** Longest number; all integers of this length fit into 64 bits. */
+#define JSON_TEXT_NUMBER_BYTES_MAX 18
+
+/**
+ * Returns a node that holds an object; free it with json_node_unref(). Returns
+ * NULL and fills @error with @kind, @source, line and reason otherwise.
+ */
+JsonNode *json_text_parse(const char *source, const char *data, size_t length,
+			  enum error_kind kind, struct error *error);
+
+#endif
--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -50,10 +50,20 @@
 	char **configuration_files; /* NULL-terminated */
 };
 
-/** Returns NULL and fills @error with file, JSON path, value and range. */
+struct field_table;
+
+/** Fields of the settings, with ranges and defaults. */
+const struct field_table *settings_field_table(void);
+/**
+ * Reads @length bytes of JSON; @source names them in errors. Returns NULL and
+ * fills @error (ERROR_SETTINGS) with source, JSON path, value and range.
+ */
+struct settings *settings_parse(const char *source, const char *data,
+				size_t length, struct error *error);
+/** Like settings_parse(), from the file @path. */
 struct settings *settings_load(const char *path, struct error *error);
 void settings_destroy(struct settings *settings);
-/** Settings as JSON text, defaults included, secret key masked; g_free() it. */
+/** Settings as JSON text, defaults included, secrets masked; g_free() it. */
 char *settings_print(const struct settings *settings);
 /** Numeric id of an instance: XXH3 64-bit of its name. */
 uint64_t instance_id_hash(const char *instance_id);
