--- a/edge/edge.c
+++ b/edge/edge.c
@@ -13,6 +13,12 @@
  */
 #define EDGE_BATCHES_PER_WAKEUP 8
 
+const char *const edge_counter_names[EDGE_COUNTERS] = {
+	"received",	      "received_bytes", "sent",
+	"sent_bytes",	      "send_errors",	"send_blocked",
+	"connection_refused", "receive_errors", "truncated",
+};
+
 struct receive_slot {
 	uint8_t headroom[EDGE_HEADROOM_BYTES];
 	uint8_t data[EDGE_DATAGRAM_BYTES];
--- a/include/edge/edge.h
+++ b/include/edge/edge.h
@@ -53,6 +53,11 @@
 	uint64_t truncated; /* longer than EDGE_DATAGRAM_BYTES, dropped */
 };
 
+#define EDGE_COUNTERS (sizeof(struct edge_counters) / sizeof(uint64_t))
+
+/** Names of the members of struct edge_counters, in their order. */
+extern const char *const edge_counter_names[EDGE_COUNTERS];
+
 /**
  * Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_IO, or
  * ERROR_SETTINGS if the address is no IP address).
