Add counters, the administration server, dump and explain

Cause: operators need the state, the counters and the reason of a decision from a live process.

Ruled out: keeping request bodies (a client could fill memory), the proxy of the environment for commands (the process is addressed directly), a new error kind for 401 and 405 (the list is closed; they use "usage").

Change: common/counters (registry and 1-2-5 histogram), package admin over libsoup, commands dump and explain with manual pages. admin.h now says that callbacks add an object (JsonBuilder takes no other root) and that the path of a NULL callback is not found.

--- /dev/null
+++ b/admin/admin.c
@@ -0,0 +1,150 @@
+#include "admin/admin.h"
+
+#include <string.h>
+
+#include "admin/routes.h"
+
+#define BEARER "Bearer "
+
+struct admin {
+	struct admin_options options;
+	char *token; /* NULL for none */
+	SoupServer *server;
+	uint16_t port;
+};
+
+/*
+ * The time depends on the length of @given only, so that a caller cannot find
+ * the token byte by byte.
+ */
+static bool token_equal(const char *token, const char *given)
+{
+	size_t token_length = strlen(token);
+	size_t given_length = strlen(given);
+	volatile uint8_t difference = token_length != given_length;
+
+	for (size_t i = 0; i < given_length; i++)
+		difference |= (uint8_t)(token[i % token_length] ^ given[i]);
+	return difference == 0;
+}
+
+static bool request_is_authorized(const struct admin *admin,
+				  SoupServerMessage *message)
+{
+	const char *header = soup_message_headers_get_one(
+		soup_server_message_get_request_headers(message),
+		"Authorization");
+
+	if (!admin->token)
+		return true;
+	return header && g_str_has_prefix(header, BEARER) &&
+	       token_equal(admin->token, header + strlen(BEARER));
+}
+
+static void refuse(SoupServerMessage *message, int status, const char *header,
+		   const char *value, const char *detail)
+{
+	struct error error;
+
+	error_set(&error, ERROR_USAGE, "%s", detail);
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message), header,
+		value);
+	response_set_error(message, status, &error);
+}
+
+/* Bodies are of no use here, and keeping them would let a client fill memory. */
+static void body_discard(SoupServer *server, SoupServerMessage *message,
+			 const char *path, GHashTable *query, gpointer data)
+{
+	(void)server;
+	(void)path;
+	(void)query;
+	(void)data;
+	soup_message_body_set_accumulate(
+		soup_server_message_get_request_body(message), FALSE);
+}
+
+static void request_handle(SoupServer *server, SoupServerMessage *message,
+			   const char *path, GHashTable *query, gpointer data)
+{
+	const struct admin *admin = data;
+	const char *method = soup_server_message_get_method(message);
+
+	(void)server;
+	if (!request_is_authorized(admin, message))
+		refuse(message, SOUP_STATUS_UNAUTHORIZED, "WWW-Authenticate",
+		       "Bearer", "a valid bearer token is needed");
+	else if (strcmp(method, "GET") != 0 && strcmp(method, "HEAD") != 0)
+		refuse(message, SOUP_STATUS_METHOD_NOT_ALLOWED, "Allow",
+		       "GET, HEAD", "the administration API is read-only");
+	else
+		routes_handle(&admin->options, message, path, query);
+}
+
+static bool server_listen(struct admin *admin, struct error *error)
+{
+	const struct admin_options *options = &admin->options;
+	GSocketAddress *address = g_inet_socket_address_new_from_string(
+		options->address, options->port);
+	GError *cause = NULL;
+	GSList *uris;
+
+	if (!address)
+		return error_set(error, ERROR_SETTINGS, "'%s' is no IP address",
+				 options->address);
+	if (!soup_server_listen(admin->server, address, 0, &cause)) {
+		error_set(error,
+			  g_error_matches(cause, G_IO_ERROR,
+					  G_IO_ERROR_ADDRESS_IN_USE)
+				  ? ERROR_ADDRESS_IN_USE
+				  : ERROR_IO,
+			  "cannot listen on %s port %u: %s", options->address,
+			  options->port, cause->message);
+		g_error_free(cause);
+		g_object_unref(address);
+		return false;
+	}
+	g_object_unref(address);
+	uris = soup_server_get_uris(admin->server);
+	admin->port = (uint16_t)g_uri_get_port(uris->data);
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	return true;
+}
+
+struct admin *admin_create(const struct admin_options *options,
+			   struct error *error)
+{
+	struct admin *admin = g_new0(struct admin, 1);
+
+	admin->options = *options;
+	if (options->token && options->token[0] != '\0')
+		admin->token = g_strdup(options->token);
+	admin->server = soup_server_new(NULL, NULL);
+	soup_server_add_early_handler(admin->server, NULL, body_discard, NULL,
+				      NULL);
+	soup_server_add_handler(admin->server, NULL, request_handle, admin,
+				NULL);
+	if (!server_listen(admin, error)) {
+		admin_destroy(admin);
+		return NULL;
+	}
+	admin->options.address = NULL;
+	admin->options.token = NULL;
+	return admin;
+}
+
+void admin_destroy(struct admin *admin)
+{
+	if (!admin)
+		return;
+	soup_server_disconnect(admin->server);
+	g_object_unref(admin->server);
+	g_free(admin->token);
+	g_free(admin);
+}
+
+uint16_t admin_port(const struct admin *admin)
+{
+	return admin->port;
+}
--- a/include/admin/admin.h
+++ b/include/admin/admin.h
@@ -3,7 +3,8 @@
 
 /**
  * Read-only administration API: JSON over local HTTP, in the default GLib main
- * loop. It changes nothing; operators act by publishing a configuration.
+ * loop. It changes nothing; operators act by publishing a configuration. The
+ * path of a callback that is NULL is not found.
  */
 
 #include <json-glib/json-glib.h>
@@ -19,14 +20,17 @@
 	const char *address; /* IP address text */
 	uint16_t port; /* 0 lets the kernel choose one */
 	const char *token; /* bearer token, NULL or "" for none */
-	/** GET /v1/state: adds one JSON value, the whole state. */
+	/** GET /v1/state: adds one JSON object, the whole state. */
 	void (*print_state)(void *context, JsonBuilder *builder);
-	/** GET /v1/members: adds one JSON value. */
+	/** GET /v1/members: adds one JSON object or array. */
 	void (*print_members)(void *context, JsonBuilder *builder);
-	/** GET /v1/services/NAME; false with ERROR_NOT_FOUND if unknown. */
+	/**
+	 * GET /v1/services/NAME: adds one JSON object; false with
+	 * ERROR_NOT_FOUND if unknown.
+	 */
 	bool (*print_service)(void *context, const char *name,
 			      JsonBuilder *builder, struct error *error);
-	/** GET /v1/explain: adds one JSON value about the flow. */
+	/** GET /v1/explain: adds one JSON object about the flow. */
 	bool (*print_explain)(void *context, const struct flow_key *key,
 			      JsonBuilder *builder, struct error *error);
 	/** GET /v1/counters: appends lines "name value\n". */
@@ -34,7 +38,10 @@
 	void *context;
 };
 
-/** Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_SETTINGS). */
+/**
+ * Returns NULL and fills @error (ERROR_ADDRESS_IN_USE, ERROR_IO, or
+ * ERROR_SETTINGS if the address is no IP address).
+ */
 struct admin *admin_create(const struct admin_options *options,
 			   struct error *error);
 void admin_destroy(struct admin *admin);
--- a/include/parsleyladder/command.h
+++ b/include/parsleyladder/command.h
@@ -17,6 +17,8 @@
 /** Prints name and summary of every command to the standard output. */
 void command_list(void);
 
+int command_dump(int argc, char **argv);
+int command_explain(int argc, char **argv);
 int command_version(int argc, char **argv);
 
 #endif
--- a/parsleyladder/command.c
+++ b/parsleyladder/command.c
@@ -6,6 +6,9 @@
 
 /* Sorted by name for bsearch(). */
 static const struct command commands[] = {
+	{ "dump", "print the state of a live process", command_dump },
+	{ "explain", "say where a packet of a flow would go, and why",
+	  command_explain },
 	{ "version", "print the version", command_version },
 };
 
