--- a/parsleyladder/command.c
+++ b/parsleyladder/command.c
@@ -6,6 +6,9 @@
 
 /* Sorted by name for bsearch(). */
 static const struct command commands[] = {
+	{ "dump", "print the state of a live process", command_dump },
+	{ "explain", "say where a packet of a flow would go, and why",
+	  command_explain },
 	{ "keygen", "print a new key pair for peers", command_keygen },
 	{ "version", "print the version", command_version },
 };
