Rename the message reader of the peer package

Ruled out: static functions, since each reader serves several files, and the name wire_reader, which peer/wire.h has. Change: the reader of peer messages is array_reader.

--- a/include/peer/core_message_codec.h
+++ b/include/peer/core_message_codec.h
@@ -14,7 +14,7 @@
 			 struct field_writer *writer);
 /** Allocates the arrays of @message; release them with core_message_clear(). */
 bool core_message_decode(struct core_message *message,
-			 struct wire_reader *reader);
+			 struct array_reader *reader);
 void core_message_clear(struct core_message *message);
 
 #endif
--- a/include/peer/field_codec.h
+++ b/include/peer/field_codec.h
@@ -31,7 +31,7 @@
 void field_write_text(struct field_writer *writer, const char *text);
 
 /** Fields of a received array; binary and text fields point into the input. */
-struct wire_reader {
+struct array_reader {
 	msgpack_object fields[FIELDS_MAX];
 	unsigned int count;
 	unsigned int next;
@@ -39,13 +39,13 @@
 };
 
 /** False if @data is not exactly one flat array. */
-bool wire_reader_init(struct wire_reader *reader, const uint8_t *data,
-		      size_t length);
-uint64_t field_read_uint(struct wire_reader *reader, uint64_t max);
-const uint8_t *field_read_bytes(struct wire_reader *reader, size_t *length);
+bool array_reader_init(struct array_reader *reader, const uint8_t *data,
+		       size_t length);
+uint64_t field_read_uint(struct array_reader *reader, uint64_t max);
+const uint8_t *field_read_bytes(struct array_reader *reader, size_t *length);
 /** Copies a text of at most @max bytes without NUL; NULL if there is none. */
-char *field_read_text(struct wire_reader *reader, size_t max);
+char *field_read_text(struct array_reader *reader, size_t max);
 /** True if every field was read and none was bad. */
-bool wire_reader_is_done(const struct wire_reader *reader);
+bool array_reader_is_done(const struct array_reader *reader);
 
 #endif
--- a/peer/core_message_codec.c
+++ b/peer/core_message_codec.c
@@ -12,7 +12,7 @@
 	void (*encode)(const struct core_message *message,
 		       struct field_writer *writer);
 	bool (*decode)(struct core_message *message,
-		       struct wire_reader *reader);
+		       struct array_reader *reader);
 };
 
 static void load_encode(const struct core_message *message,
@@ -28,7 +28,7 @@
 }
 
 static bool load_decode(struct core_message *message,
-			struct wire_reader *reader)
+			struct array_reader *reader)
 {
 	struct wire_reader wire = { 0 };
 	struct host_load *loads;
@@ -61,7 +61,8 @@
 	field_write_uint(writer, message->version.coordinator_id);
 }
 
-static bool map_decode(struct core_message *message, struct wire_reader *reader)
+static bool map_decode(struct core_message *message,
+		       struct array_reader *reader)
 {
 	message->service_id = (uint32_t)field_read_uint(reader, UINT32_MAX);
 	message->version.revision = field_read_uint(reader, UINT64_MAX);
@@ -91,7 +92,7 @@
 }
 
 static bool proposal_decode(struct core_message *message,
-			    struct wire_reader *reader)
+			    struct array_reader *reader)
 {
 	const uint8_t *dictionary;
 	size_t dictionary_bytes;
@@ -139,7 +140,7 @@
 }
 
 static bool digest_decode(struct core_message *message,
-			  struct wire_reader *reader)
+			  struct array_reader *reader)
 {
 	struct wire_reader wire = { 0 };
 	struct map_digest *digest;
@@ -169,7 +170,7 @@
 }
 
 static bool shard_decode(struct core_message *message,
-			 struct wire_reader *reader)
+			 struct array_reader *reader)
 {
 	message->shard = (uint16_t)field_read_uint(reader, UINT16_MAX);
 	return !reader->is_bad;
@@ -183,7 +184,7 @@
 }
 
 static bool batch_decode(struct core_message *message,
-			 struct wire_reader *reader)
+			 struct array_reader *reader)
 {
 	size_t length;
 	const uint8_t *field = field_read_bytes(reader, &length);
@@ -203,7 +204,7 @@
 }
 
 static bool shard_state_decode(struct core_message *message,
-			       struct wire_reader *reader)
+			       struct array_reader *reader)
 {
 	shard_decode(message, reader);
 	message->is_last = (uint8_t)field_read_uint(reader, 1);
@@ -237,10 +238,10 @@
 }
 
 bool core_message_decode(struct core_message *message,
-			 struct wire_reader *reader)
+			 struct array_reader *reader)
 {
 	return codecs[message->kind].decode(message, reader) &&
-	       wire_reader_is_done(reader);
+	       array_reader_is_done(reader);
 }
 
 void core_message_clear(struct core_message *message)
--- a/peer/field_codec.c
+++ b/peer/field_codec.c
@@ -63,7 +63,7 @@
 	return is_fixed || (tag >= 0xdc && tag <= 0xdf);
 }
 
-static bool field_unpack(struct wire_reader *reader, const uint8_t *data,
+static bool field_unpack(struct array_reader *reader, const uint8_t *data,
 			 size_t length, size_t *offset)
 {
 	msgpack_unpacked unpacked;
@@ -82,8 +82,8 @@
 	return is_good;
 }
 
-bool wire_reader_init(struct wire_reader *reader, const uint8_t *data,
-		      size_t length)
+bool array_reader_init(struct array_reader *reader, const uint8_t *data,
+		       size_t length)
 {
 	unsigned int count;
 	size_t offset = 1;
@@ -99,7 +99,7 @@
 	return offset == length;
 }
 
-static const msgpack_object *field_next(struct wire_reader *reader,
+static const msgpack_object *field_next(struct array_reader *reader,
 					msgpack_object_type type)
 {
 	const msgpack_object *field = &reader->fields[reader->next];
@@ -113,7 +113,7 @@
 	return field;
 }
 
-uint64_t field_read_uint(struct wire_reader *reader, uint64_t max)
+uint64_t field_read_uint(struct array_reader *reader, uint64_t max)
 {
 	const msgpack_object *field =
 		field_next(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
@@ -127,7 +127,7 @@
 	return field->via.u64;
 }
 
-const uint8_t *field_read_bytes(struct wire_reader *reader, size_t *length)
+const uint8_t *field_read_bytes(struct array_reader *reader, size_t *length)
 {
 	const msgpack_object *field = field_next(reader, MSGPACK_OBJECT_BIN);
 
@@ -135,7 +135,7 @@
 	return field ? (const uint8_t *)field->via.bin.ptr : NULL;
 }
 
-char *field_read_text(struct wire_reader *reader, size_t max)
+char *field_read_text(struct array_reader *reader, size_t max)
 {
 	const msgpack_object *field = field_next(reader, MSGPACK_OBJECT_STR);
 
@@ -149,7 +149,7 @@
 	return g_strndup(field->via.str.ptr, field->via.str.size);
 }
 
-bool wire_reader_is_done(const struct wire_reader *reader)
+bool array_reader_is_done(const struct array_reader *reader)
 {
 	return !reader->is_bad && reader->next == reader->count;
 }
--- a/peer/message_codec.c
+++ b/peer/message_codec.c
@@ -29,7 +29,7 @@
 }
 
 static bool heartbeat_decode(struct heartbeat *heartbeat,
-			     struct wire_reader *reader)
+			     struct array_reader *reader)
 {
 	struct wire_reader wire = { 0 };
 
@@ -80,7 +80,7 @@
 }
 
 static bool index_decode(struct peer_message *message,
-			 struct wire_reader *reader)
+			 struct array_reader *reader)
 {
 	struct wire_reader wire = { 0 };
 
@@ -110,7 +110,7 @@
 }
 
 static bool part_decode(struct peer_message *message,
-			struct wire_reader *reader)
+			struct array_reader *reader)
 {
 	const uint8_t *data;
 
@@ -174,7 +174,7 @@
 }
 
 static bool body_decode(struct peer_message *message,
-			struct wire_reader *reader)
+			struct array_reader *reader)
 {
 	switch (message->kind) {
 	case PEER_MESSAGE_HEARTBEAT:
@@ -199,12 +199,12 @@
 struct peer_message *peer_message_decode(const uint8_t *data, size_t length,
 					 struct error *error)
 {
-	struct wire_reader reader;
+	struct array_reader reader;
 	struct peer_message *message;
 	uint64_t version;
 	uint64_t kind;
 
-	if (!wire_reader_init(&reader, data, length)) {
+	if (!array_reader_init(&reader, data, length)) {
 		error_set(error, ERROR_PEER,
 			  "message of %zu bytes is not one flat array", length);
 		return NULL;
@@ -225,7 +225,7 @@
 	}
 	message = g_new0(struct peer_message, 1);
 	message->kind = (enum peer_message_kind)kind;
-	if (body_decode(message, &reader) && wire_reader_is_done(&reader))
+	if (body_decode(message, &reader) && array_reader_is_done(&reader))
 		return message;
 	error_set(error, ERROR_PEER,
 		  "malformed message of kind %" G_GUINT64_FORMAT
