Add the stand-in world, the stand-in platform and the scenario runner

Cause: the guarantees of the design are about whole fleets, which needs a fabric, callers, backend servers and a platform around real balancer processes.

Ruled out: real TCP sockets for callers and backend servers. Balancers return no packets, so kernel sockets would need tunnels and routes of the host, which an unprivileged run cannot set up. Ports fixed by the example files were ruled out because two runs at a time would collide; the runner replaces them.

Change: parsleyladder-standin with the commands world and platform, parsleyladder-scenario with its language, tests for connections, flows and the language, and one scenario over a balancer that forwards by hash.

--- /dev/null
+++ b/standins/scenario/process.c
@@ -0,0 +1,129 @@
+#include "standins/scenario/process.h"
+
+#include <gio/gio.h>
+#include <signal.h>
+#include <string.h>
+
+struct process {
+	GSubprocess *child;
+	char *ready; /* line, once read */
+	bool is_ended;
+};
+
+static void on_ended(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct process *process = data;
+
+	g_subprocess_wait_finish(G_SUBPROCESS(source), result, NULL);
+	process->is_ended = true;
+}
+
+struct process *process_start(const char *const *argv, const char *log_path,
+			      bool reads_output, struct error *error)
+{
+	GSubprocessFlags flags = reads_output ? G_SUBPROCESS_FLAGS_STDOUT_PIPE
+					      : G_SUBPROCESS_FLAGS_NONE;
+	g_autoptr(GSubprocessLauncher)
+		launcher = g_subprocess_launcher_new(flags);
+	g_autoptr(GError) failure = NULL;
+	struct process *process;
+	GSubprocess *child;
+
+	g_subprocess_launcher_set_stderr_file_path(launcher, log_path);
+	if (!reads_output)
+		g_subprocess_launcher_set_stdout_file_path(launcher, log_path);
+	child = g_subprocess_launcher_spawnv(launcher, argv, &failure);
+	if (!child) {
+		error_set(error, ERROR_IO, "%s: %s", argv[0], failure->message);
+		return NULL;
+	}
+	process = g_new0(struct process, 1);
+	process->child = child;
+	g_subprocess_wait_async(child, NULL, on_ended, process);
+	return process;
+}
+
+void process_destroy(struct process *process)
+{
+	if (!process->is_ended) {
+		g_subprocess_send_signal(process->child, SIGKILL);
+		/* on_ended() must run before its argument is freed. */
+		while (!process->is_ended)
+			g_main_context_iteration(NULL, TRUE);
+	}
+	g_object_unref(process->child);
+	g_free(process->ready);
+	g_free(process);
+}
+
+static const char *ready_line(struct process *process)
+{
+	g_autoptr(GDataInputStream) lines = NULL;
+
+	if (process->ready)
+		return process->ready;
+	lines = g_data_input_stream_new(
+		g_subprocess_get_stdout_pipe(process->child));
+	process->ready = g_data_input_stream_read_line(lines, NULL, NULL, NULL);
+	return process->ready;
+}
+
+uint16_t process_ready_port(struct process *process, const char *name,
+			    struct error *error)
+{
+	const char *line = ready_line(process);
+	g_auto(GStrv) words = g_strsplit(line ? line : "", " ", -1);
+	size_t length = strlen(name);
+
+	for (char **word = words; *word; word++)
+		if (strncmp(*word, name, length) == 0 && (*word)[length] == '=')
+			return (uint16_t)g_ascii_strtoull(*word + length + 1,
+							  NULL, 10);
+	error_set(error, ERROR_IO, "stand-in did not print port '%s'", name);
+	return 0;
+}
+
+void process_signal(struct process *process, int signal_number)
+{
+	g_subprocess_send_signal(process->child, signal_number);
+}
+
+bool process_is_running(const struct process *process)
+{
+	return !process->is_ended;
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+bool process_wait(struct process *process, double bound_s)
+{
+	bool is_over = false;
+	guint timeout =
+		g_timeout_add((guint)(bound_s * 1000), on_timeout, &is_over);
+
+	while (!process->is_ended && !is_over)
+		g_main_context_iteration(NULL, TRUE);
+	if (!is_over)
+		g_source_remove(timeout);
+	return process->is_ended;
+}
+
+int process_exit_status(const struct process *process)
+{
+	if (g_subprocess_get_if_exited(process->child))
+		return g_subprocess_get_exit_status(process->child);
+	return 128 + g_subprocess_get_term_sig(process->child);
+}
+
+void process_sleep(double seconds)
+{
+	bool is_over = false;
+
+	g_timeout_add((guint)(seconds * 1000), on_timeout, &is_over);
+	while (!is_over)
+		g_main_context_iteration(NULL, TRUE);
+}
