Add the link stand-in, the demo and a faulty balancer

Cause: traffic between balancers bypasses the stand-in world, so partitions between zones could not be played, and nothing showed that the checks of the world fail when they should.

Ruled out: dropping the bytes of TCP connections during a cut. A partition loses packets, not bytes of a stream, so the relay holds them until it heals.

Not yet run over the product's balancer.

Conclusion: the demo waits for the balancer command.

--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,8 @@
 format:
 	git ls-files --cached --others --exclude-standard '*.c' '*.h' | xargs clang-format -i
 
+demo: all
+	$(BUILD)/standins/parsleyladder-scenario scenarios/demo.scenario
+
 clean:
 	rm -rf $(BUILD) $(SANITIZED)
--- a/standins/command.c
+++ b/standins/command.c
@@ -7,6 +7,7 @@
 
 /* Sorted by name for bsearch(). */
 static const struct standin_command commands[] = {
+	{ "link", "relay between balancers", standin_command_link },
 	{ "platform", "the platform's configuration service",
 	  standin_command_platform },
 	{ "world", "fabric, callers and backend servers",
--- a/standins/scenario/figures.c
+++ b/standins/scenario/figures.c
@@ -22,12 +22,11 @@
 		figure_add(data, name, json_node_get_double(node));
 }
 
-static bool world_add(struct runner *runner, GHashTable *figures,
-		      struct error *error)
+static bool standin_add(struct standin *standin, GHashTable *figures,
+			struct error *error)
 {
 	JsonObject *request = runner_request("report");
-	JsonObject *report =
-		channel_request(runner->world.channel, request, error);
+	JsonObject *report = channel_request(standin->channel, request, error);
 
 	json_object_unref(request);
 	if (!report)
@@ -102,7 +101,9 @@
 	GHashTable *figures =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
-	if (!world_add(runner, figures, error) ||
+	if (!standin_add(&runner->world, figures, error) ||
+	    (runner->link.channel &&
+	     !standin_add(&runner->link, figures, error)) ||
 	    !platform_add(runner, figures, error)) {
 		g_hash_table_destroy(figures);
 		return NULL;
--- a/standins/world/ledger.c
+++ b/standins/world/ledger.c
@@ -60,10 +60,10 @@
 {
 	struct record *record = record_find(ledger, flow_id);
 
-	if (!record || record->service != service) {
+	if (!record || record->service != service)
 		ledger->counters.packets_misdelivered++;
+	if (!record)
 		return;
-	}
 	if (record->first_host == 0)
 		record->first_host = host + 1;
 	if (record->first_host == host + 1 || record->has_two_hosts)
--- a/tests/standins/fake_balancer.c
+++ b/tests/standins/fake_balancer.c
@@ -1,6 +1,8 @@
 /*
  * Balancer without peers for tests of the stand-ins: reads the settings and
  * the first configuration, and forwards each packet by the hash of its flow.
+ * Built with FAKE_FAULTY it forwards each 97th packet to any host of any
+ * service, so that tests see whether the stand-in world notices.
  */
 
 #include <arpa/inet.h>
@@ -21,23 +23,48 @@
 	GMainLoop *loop;
 };
 
+#ifdef FAKE_FAULTY
+static const bool is_faulty = true;
+#else
+static const bool is_faulty;
+#endif
+
+#define FAULT_PERIOD 97
+
+static const struct host *host_choose(const struct fake *fake,
+				      const struct flow_key *key)
+{
+	const struct configuration *configuration = fake->configuration;
+	const struct service *service =
+		configuration_find_service(configuration, key);
+	uint64_t hash = flow_key_hash(key, fake->settings->flow_hash_seed);
+	static unsigned int packets;
+
+	packets++;
+	if (is_faulty && packets % FAULT_PERIOD == 0) {
+		hash += packets / FAULT_PERIOD;
+		service =
+			&configuration->services[hash %
+						 configuration->service_count];
+	}
+	if (!service)
+		return NULL;
+	return &service->hosts[hash % service->host_count];
+}
+
 static void on_datagram(void *context, uint8_t *data, size_t length,
 			const struct sockaddr_storage *source)
 {
 	struct fake *fake = context;
 	struct sockaddr_in address = { .sin_family = AF_INET };
-	const struct service *service;
 	const struct host *host;
 	struct packet_facts facts;
 
 	if (packet_parse(data, length, &facts) != PACKET_OK)
 		return;
-	service = configuration_find_service(fake->configuration, &facts.key);
-	if (!service)
+	host = host_choose(fake, &facts.key);
+	if (!host)
 		return;
-	host = &service->hosts[flow_key_hash(&facts.key,
-					     fake->settings->flow_hash_seed) %
-			       service->host_count];
 	memcpy(&address.sin_addr, host->address.bytes + 12, 4);
 	address.sin_port = htons(host->port);
 	edge_send(fake->edge, (struct sockaddr *)&address, sizeof(address),
