Carry the core's numbered streams and map acknowledgements

The core numbers records, shard state and releases and has a new message that acknowledges them; its acknowledgement of a map lists buckets that must stay open. The codec knew none of these fields: a balancer crashed on the first stream acknowledgement (trial with three processes, NULL encoder). Ruled out: ZeroMQ's ordering alone, since a reconnect or the send queue's age limit may drop a message. Before: crash.

--- a/common/log.c
+++ b/common/log.c
@@ -37,6 +37,19 @@
 	.format = event_format,
 };
 
+static int event_append(log4c_appender_t *appender,
+			const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+/* log4c's own stream appender puts its name before each line. */
+static const log4c_appender_type_t appender_type = {
+	.name = "parsleyladder_stderr",
+	.append = event_append,
+};
+
 bool log_level_parse(const char *name, enum log_level *level)
 {
 	for (size_t i = 0; i < sizeof(levels) / sizeof(levels[0]); i++) {
@@ -58,7 +71,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get(LOG_CATEGORY);
 	log4c_layout_set_type(layout, &layout_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get(LOG_CATEGORY);
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(LOG_CATEGORY);
 	log4c_category_set_appender(category, appender);
--- a/peer/core_message_codec.c
+++ b/peer/core_message_codec.c
@@ -122,6 +122,37 @@
 	return message->open;
 }
 
+static void acknowledgement_encode(const struct core_message *message,
+				   struct field_writer *writer)
+{
+	uint32_t count = message->open ? message->bucket_count : 0;
+
+	map_encode(message, writer);
+	field_write_uint(writer, count);
+	if (count == 0)
+		field_write_bytes(writer, NULL, 0);
+	else
+		field_write_array(writer, bits_encode(message->open, count));
+}
+
+static bool acknowledgement_decode(struct core_message *message,
+				   struct array_reader *reader)
+{
+	const uint8_t *field;
+	size_t length;
+
+	map_decode(message, reader);
+	message->bucket_count =
+		(uint32_t)field_read_uint(reader, TABLE_BUCKETS_MAX);
+	field = field_read_bytes(reader, &length);
+	if (!field)
+		return false;
+	if (message->bucket_count == 0)
+		return length == 0;
+	message->open = bits_decode(field, length, message->bucket_count);
+	return message->open;
+}
+
 static void digest_encode(const struct core_message *message,
 			  struct field_writer *writer)
 {
@@ -176,6 +207,21 @@
 	return !reader->is_bad;
 }
 
+static void stream_encode(const struct core_message *message,
+			  struct field_writer *writer)
+{
+	field_write_uint(writer, message->stream);
+	field_write_uint(writer, message->sequence);
+}
+
+static bool stream_decode(struct core_message *message,
+			  struct array_reader *reader)
+{
+	message->stream = field_read_uint(reader, UINT64_MAX);
+	message->sequence = (uint32_t)field_read_uint(reader, UINT32_MAX);
+	return !reader->is_bad;
+}
+
 static void batch_encode(const struct core_message *message,
 			 struct field_writer *writer)
 {
@@ -195,9 +241,36 @@
 	return message->records;
 }
 
+static void records_message_encode(const struct core_message *message,
+				   struct field_writer *writer)
+{
+	stream_encode(message, writer);
+	batch_encode(message, writer);
+}
+
+static bool records_message_decode(struct core_message *message,
+				   struct array_reader *reader)
+{
+	return stream_decode(message, reader) && batch_decode(message, reader);
+}
+
+static void release_encode(const struct core_message *message,
+			   struct field_writer *writer)
+{
+	stream_encode(message, writer);
+	shard_encode(message, writer);
+}
+
+static bool release_decode(struct core_message *message,
+			   struct array_reader *reader)
+{
+	return stream_decode(message, reader) && shard_decode(message, reader);
+}
+
 static void shard_state_encode(const struct core_message *message,
 			       struct field_writer *writer)
 {
+	stream_encode(message, writer);
 	shard_encode(message, writer);
 	field_write_uint(writer, message->is_last);
 	batch_encode(message, writer);
@@ -206,6 +279,7 @@
 static bool shard_state_decode(struct core_message *message,
 			       struct array_reader *reader)
 {
+	stream_decode(message, reader);
 	shard_decode(message, reader);
 	message->is_last = (uint8_t)field_read_uint(reader, 1);
 	return batch_decode(message, reader);
@@ -214,15 +288,19 @@
 static const struct core_message_codec codecs[CORE_MESSAGE_KINDS] = {
 	[CORE_MESSAGE_LOAD] = { 1, load_encode, load_decode },
 	[CORE_MESSAGE_MAP_PROPOSAL] = { 10, proposal_encode, proposal_decode },
-	[CORE_MESSAGE_MAP_ACKNOWLEDGEMENT] = { 4, map_encode, map_decode },
+	[CORE_MESSAGE_MAP_ACKNOWLEDGEMENT] = { 6, acknowledgement_encode,
+					       acknowledgement_decode },
 	[CORE_MESSAGE_MAP_COMMIT] = { 4, map_encode, map_decode },
 	[CORE_MESSAGE_MAP_REQUEST] = { 4, map_encode, map_decode },
 	[CORE_MESSAGE_MAP_DIGEST] = { 1, digest_encode, digest_decode },
-	[CORE_MESSAGE_RECORDS] = { 1, batch_encode, batch_decode },
+	[CORE_MESSAGE_RECORDS] = { 3, records_message_encode,
+				   records_message_decode },
 	[CORE_MESSAGE_SHARD_PULL] = { 1, shard_encode, shard_decode },
-	[CORE_MESSAGE_SHARD_STATE] = { 3, shard_state_encode,
+	[CORE_MESSAGE_SHARD_STATE] = { 5, shard_state_encode,
 				       shard_state_decode },
-	[CORE_MESSAGE_SHARD_RELEASE] = { 1, shard_encode, shard_decode },
+	[CORE_MESSAGE_SHARD_RELEASE] = { 3, release_encode, release_decode },
+	[CORE_MESSAGE_STREAM_ACKNOWLEDGEMENT] = { 2, stream_encode,
+						  stream_decode },
 	[CORE_MESSAGE_ANSWERS] = { 1, batch_encode, batch_decode },
 };
 
