Measure forwarding against a bare receive-and-send loop

Ruled out: pinning processes to cores; both loops run in the same process, alternate within each round, and medians of nine rounds are taken.

Change: bench/forward_bench.c with two sender processes and a sink process. A table lookup stands in for the core (stub_decide()).

--- /dev/null
+++ b/bench/forward_bench.c
@@ -0,0 +1,407 @@
+/*
+ * Packets per second that are forwarded (edge, parsing, flow hash, a table
+ * lookup in place of the core), against a bare recvmmsg/sendmmsg loop over the
+ * same datagrams. Both run in this process on a thread that is always busy;
+ * child processes send and receive.
+ */
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "edge/edge.h"
+#include "edge/socket.h"
+#include "packet/build.h"
+
+#define FLOWS 4096
+#define PACKET_BYTES 120
+#define SENDERS 2
+#define ROUNDS 9
+#define WARM_UP_NS (50 * NS_PER_MS)
+#define ROUND_NS (300 * NS_PER_MS)
+/* Batches between two looks at the clock, as many as the edge takes. */
+#define RAW_BATCHES 8
+/* Children end by themselves if this process could not end them. */
+#define CHILD_LIFE_S 10
+#define BUFFER_BYTES (4 * 1024 * 1024)
+/* Table of the stub decision. */
+#define TABLE_BUCKETS 2039
+#define HOSTS 14
+#define PARSE_PASSES 500
+
+struct rates {
+	double packets_per_s[ROUNDS];
+	double cpu_share[ROUNDS];
+};
+
+struct forwarder {
+	struct edge *edge;
+	uint8_t table[TABLE_BUCKETS];
+	struct sockaddr_storage hosts[HOSTS];
+	socklen_t host_bytes;
+	uint64_t dropped;
+};
+
+static uint8_t packets[FLOWS][PACKET_BYTES];
+
+static void die(const char *what)
+{
+	perror(what);
+	exit(EXIT_FAILURE);
+}
+
+static int64_t cpu_ns(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+	return now.tv_sec * NS_PER_S + now.tv_nsec;
+}
+
+static void packets_build(void)
+{
+	static const uint8_t payload[PACKET_BYTES];
+
+	for (uint32_t i = 0; i < FLOWS; i++) {
+		struct packet_fields fields = {
+			.source_port = (uint16_t)(1024 + i * 13),
+			.destination_port = 443,
+			.protocol = PACKET_PROTOCOL_TCP,
+			.tcp_flags = TCP_FLAG_ACK,
+			.payload = payload,
+			.payload_bytes = PACKET_BYTES - 40,
+		};
+
+		ip_address_parse("198.51.100.0", &fields.source);
+		ip_address_parse("203.0.113.1", &fields.destination);
+		fields.source.bytes[15] = (uint8_t)i;
+		if (packet_build(&fields, packets[i], PACKET_BYTES) !=
+		    PACKET_BYTES)
+			abort();
+	}
+}
+
+/* Opens a socket on loopback with a large buffer, and finds its address. */
+static int socket_open(struct sockaddr_storage *name, socklen_t *name_bytes)
+{
+	struct error error;
+	int fd = udp_socket_open("127.0.0.1", 0, BUFFER_BYTES, &error);
+
+	if (fd < 0) {
+		fprintf(stderr, "%s\n", error.detail);
+		exit(EXIT_FAILURE);
+	}
+	*name_bytes = udp_socket_name(fd, name);
+	return fd;
+}
+
+static void batch_init(struct mmsghdr *headers, struct iovec *vectors,
+		       uint8_t (*buffers)[EDGE_DATAGRAM_BYTES])
+{
+	memset(headers, 0, EDGE_BATCH * sizeof(*headers));
+	for (int i = 0; i < EDGE_BATCH; i++) {
+		vectors[i].iov_base = buffers[i];
+		vectors[i].iov_len = EDGE_DATAGRAM_BYTES;
+		headers[i].msg_hdr.msg_iov = &vectors[i];
+		headers[i].msg_hdr.msg_iovlen = 1;
+	}
+}
+
+static void sender_run(const struct sockaddr_storage *to, socklen_t to_bytes)
+{
+	struct mmsghdr headers[EDGE_BATCH] = { 0 };
+	struct iovec vectors[EDGE_BATCH];
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0 || connect(fd, (const struct sockaddr *)to, to_bytes) != 0)
+		die("connect");
+	for (uint32_t flow = 0;; flow = (flow + EDGE_BATCH) % FLOWS) {
+		for (int i = 0; i < EDGE_BATCH; i++) {
+			vectors[i].iov_base = packets[flow + i];
+			vectors[i].iov_len = PACKET_BYTES;
+			headers[i].msg_hdr.msg_iov = &vectors[i];
+			headers[i].msg_hdr.msg_iovlen = 1;
+		}
+		sendmmsg(fd, headers, EDGE_BATCH, 0);
+	}
+}
+
+static void sink_run(int fd)
+{
+	static uint8_t buffers[EDGE_BATCH][EDGE_DATAGRAM_BYTES];
+	struct mmsghdr headers[EDGE_BATCH];
+	struct iovec vectors[EDGE_BATCH];
+
+	batch_init(headers, vectors, buffers);
+	for (;;) {
+		if (recvmmsg(fd, headers, EDGE_BATCH, 0, NULL) < 0 &&
+		    errno == EAGAIN)
+			usleep(50);
+	}
+}
+
+static void child_prepare(void)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	alarm(CHILD_LIFE_S);
+}
+
+static pid_t sink_start(int fd)
+{
+	pid_t pid = fork();
+
+	if (pid < 0)
+		die("fork");
+	if (pid == 0) {
+		child_prepare();
+		sink_run(fd);
+	}
+	return pid;
+}
+
+static pid_t sender_start(const struct sockaddr_storage *to, socklen_t to_bytes)
+{
+	pid_t pid = fork();
+
+	if (pid < 0)
+		die("fork");
+	if (pid == 0) {
+		child_prepare();
+		sender_run(to, to_bytes);
+	}
+	return pid;
+}
+
+static void child_stop(pid_t pid)
+{
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+}
+
+/* Stands in for the decision core. */
+static unsigned int stub_decide(const struct forwarder *forwarder,
+				uint64_t hash)
+{
+	return forwarder->table[(uint32_t)hash % TABLE_BUCKETS];
+}
+
+static void datagram_forward(void *context, uint8_t *data, size_t length,
+			     const struct sockaddr_storage *source)
+{
+	struct forwarder *forwarder = context;
+	struct packet_facts facts;
+	unsigned int host;
+
+	(void)source;
+	if (packet_parse(data, length, &facts) != PACKET_OK) {
+		forwarder->dropped++;
+		return;
+	}
+	host = stub_decide(forwarder, flow_key_hash(&facts.key, 42));
+	edge_send(forwarder->edge, (struct sockaddr *)&forwarder->hosts[host],
+		  forwarder->host_bytes, data, length);
+}
+
+/* Forwards until @until_ns and returns the number of packets sent. */
+static uint64_t edge_forward(void *context, int64_t until_ns)
+{
+	struct forwarder *forwarder = context;
+	uint64_t before = edge_counters(forwarder->edge)->sent;
+
+	while (clock_now_ns(clock_system()) < until_ns)
+		g_main_context_iteration(NULL, FALSE);
+	return edge_counters(forwarder->edge)->sent - before;
+}
+
+struct raw_loop {
+	int fd;
+	struct sockaddr_storage sink;
+	socklen_t sink_bytes;
+	struct mmsghdr headers[EDGE_BATCH];
+	struct iovec vectors[EDGE_BATCH];
+	uint8_t buffers[EDGE_BATCH][EDGE_DATAGRAM_BYTES];
+};
+
+static unsigned int raw_batch(struct raw_loop *raw)
+{
+	int received, sent;
+
+	for (int i = 0; i < EDGE_BATCH; i++) {
+		raw->vectors[i].iov_len = EDGE_DATAGRAM_BYTES;
+		raw->headers[i].msg_hdr.msg_name = NULL;
+		raw->headers[i].msg_hdr.msg_namelen = 0;
+	}
+	received =
+		recvmmsg(raw->fd, raw->headers, EDGE_BATCH, MSG_DONTWAIT, NULL);
+	if (received <= 0)
+		return 0;
+	for (int i = 0; i < received; i++) {
+		raw->vectors[i].iov_len = raw->headers[i].msg_len;
+		raw->headers[i].msg_hdr.msg_name = &raw->sink;
+		raw->headers[i].msg_hdr.msg_namelen = raw->sink_bytes;
+	}
+	sent = sendmmsg(raw->fd, raw->headers, received, MSG_DONTWAIT);
+	return sent > 0 ? sent : 0;
+}
+
+static uint64_t raw_forward(void *context, int64_t until_ns)
+{
+	uint64_t sent = 0;
+
+	while (clock_now_ns(clock_system()) < until_ns) {
+		for (int i = 0; i < RAW_BATCHES; i++)
+			sent += raw_batch(context);
+	}
+	return sent;
+}
+
+struct contestant {
+	uint64_t (*forward)(void *context, int64_t until_ns);
+	void *context;
+	struct sockaddr_storage address;
+	socklen_t address_bytes;
+	struct rates rates;
+};
+
+static void round_run(struct contestant *contestant, int round)
+{
+	pid_t senders[SENDERS];
+	int64_t start_ns, start_cpu_ns, elapsed_ns;
+	uint64_t sent;
+
+	for (int i = 0; i < SENDERS; i++)
+		senders[i] = sender_start(&contestant->address,
+					  contestant->address_bytes);
+	contestant->forward(contestant->context,
+			    clock_now_ns(clock_system()) + WARM_UP_NS);
+	start_ns = clock_now_ns(clock_system());
+	start_cpu_ns = cpu_ns();
+	sent = contestant->forward(contestant->context, start_ns + ROUND_NS);
+	elapsed_ns = clock_now_ns(clock_system()) - start_ns;
+	contestant->rates.cpu_share[round] =
+		(double)(cpu_ns() - start_cpu_ns) / (double)elapsed_ns;
+	contestant->rates.packets_per_s[round] =
+		(double)sent * NS_PER_S / (double)elapsed_ns;
+	for (int i = 0; i < SENDERS; i++)
+		child_stop(senders[i]);
+}
+
+static int double_compare(const void *a, const void *b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+static double median(const double *values)
+{
+	double sorted[ROUNDS];
+
+	memcpy(sorted, values, sizeof(sorted));
+	qsort(sorted, ROUNDS, sizeof(sorted[0]), double_compare);
+	return sorted[ROUNDS / 2];
+}
+
+static void parse_measure(void)
+{
+	struct packet_facts facts;
+	uint64_t sum = 0;
+	int64_t start_ns = cpu_ns(), middle_ns, end_ns;
+	double calls = (double)FLOWS * PARSE_PASSES;
+
+	for (int pass = 0; pass < PARSE_PASSES; pass++) {
+		for (int i = 0; i < FLOWS; i++) {
+			if (packet_parse(packets[i], PACKET_BYTES, &facts) !=
+			    PACKET_OK)
+				abort();
+			sum += facts.key.caller_port;
+		}
+	}
+	middle_ns = cpu_ns();
+	for (int pass = 0; pass < PARSE_PASSES; pass++) {
+		for (int i = 0; i < FLOWS; i++) {
+			facts.key.caller_port = (uint16_t)i;
+			sum += flow_key_hash(&facts.key, 42);
+		}
+	}
+	end_ns = cpu_ns();
+	/* The sum keeps the compiler from dropping the calls. */
+	fprintf(stderr, "parse checksum %llu\n", (unsigned long long)sum);
+	printf("figure parse_ns %.1f ns\n",
+	       (double)(middle_ns - start_ns) / calls);
+	printf("figure hash_ns %.1f ns\n",
+	       (double)(end_ns - middle_ns) / calls);
+}
+
+static void forwarder_open(struct forwarder *forwarder,
+			   const struct sockaddr_storage *sink,
+			   socklen_t sink_bytes)
+{
+	struct edge_options options = {
+		.address = "127.0.0.1",
+		.receive_buffer_bytes = BUFFER_BYTES,
+		.on_datagram = datagram_forward,
+		.context = forwarder,
+	};
+	struct error error;
+
+	forwarder->edge = edge_create(&options, &error);
+	if (!forwarder->edge) {
+		fprintf(stderr, "%s\n", error.detail);
+		exit(EXIT_FAILURE);
+	}
+	for (int i = 0; i < HOSTS; i++)
+		forwarder->hosts[i] = *sink;
+	forwarder->host_bytes = sink_bytes;
+	for (int i = 0; i < TABLE_BUCKETS; i++)
+		forwarder->table[i] = i % HOSTS;
+}
+
+int main(void)
+{
+	static struct forwarder forwarder;
+	static struct raw_loop raw;
+	static struct contestant edge = { .forward = edge_forward,
+					  .context = &forwarder };
+	static struct contestant bare = { .forward = raw_forward,
+					  .context = &raw };
+	struct ip_address loopback;
+	int sink_fd = socket_open(&raw.sink, &raw.sink_bytes);
+
+	packets_build();
+	raw.fd = socket_open(&bare.address, &bare.address_bytes);
+	batch_init(raw.headers, raw.vectors, raw.buffers);
+	forwarder_open(&forwarder, &raw.sink, raw.sink_bytes);
+	ip_address_parse("127.0.0.1", &loopback);
+	edge.address_bytes = edge_destination(forwarder.edge, &loopback,
+					      edge_port(forwarder.edge),
+					      &edge.address);
+	for (int round = 0; round < ROUNDS; round++) {
+		pid_t sink = sink_start(sink_fd);
+
+		round_run(round % 2 ? &edge : &bare, round);
+		round_run(round % 2 ? &bare : &edge, round);
+		child_stop(sink);
+	}
+	printf("figure forward_over_raw %.3f ratio\n",
+	       median(edge.rates.packets_per_s) /
+		       median(bare.rates.packets_per_s));
+	printf("figure forward_packets_per_s %.0f packets/s\n",
+	       median(edge.rates.packets_per_s));
+	printf("figure raw_packets_per_s %.0f packets/s\n",
+	       median(bare.rates.packets_per_s));
+	printf("figure forward_cpu_share %.2f ratio\n",
+	       median(edge.rates.cpu_share));
+	printf("figure raw_cpu_share %.2f ratio\n",
+	       median(bare.rates.cpu_share));
+	parse_measure();
+	edge_destroy(forwarder.edge);
+	return forwarder.dropped == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
