Hash flow keys without store-forwarding stalls

XXH3 read 8-byte words that had been written as 2-byte and 1-byte fields.

Ruled out: another hash function; only the copy was slow.

Change: the hashed key is 40 bytes, of which the last 8 are one big-endian word of ports, protocol and zeros. The hash values change; nothing stores them yet.

--- a/packet/address.c
+++ b/packet/address.c
@@ -1,6 +1,7 @@
 #include "packet/packet.h"
 
 #include <arpa/inet.h>
+#include <endian.h>
 #include <string.h>
 
 #include "packet/bytes.h"
@@ -67,25 +68,29 @@
 }
 
 /*
- * Hashed form of a key. It has no padding, whose bytes would be undefined, and
- * its ports are big-endian, so that instances of either byte order agree.
+ * Hashed form of a key, without padding, whose bytes would be undefined.
+ * @rest has, from its most significant byte, the caller port, the service port,
+ * the protocol and three bytes of 0. It is written as one big-endian word: that
+ * makes instances of either byte order agree, and avoids the stalls of reading
+ * a word back from the narrower fields it was stored by (23 to 30 ns a hash
+ * before, 6 to 13 ns after, in bench/forward_bench).
  */
 struct hashed_key {
 	struct ip_address caller;
 	struct ip_address service;
-	uint16_t caller_port;
-	uint16_t service_port;
-	uint8_t protocol;
-} __attribute__((packed));
+	uint64_t rest;
+};
+
+_Static_assert(sizeof(struct hashed_key) == 40, "the hashed key has padding");
 
 uint64_t flow_key_hash(const struct flow_key *key, uint64_t seed)
 {
 	const struct hashed_key hashed = {
 		.caller = key->caller,
 		.service = key->service,
-		.caller_port = htons(key->caller_port),
-		.service_port = htons(key->service_port),
-		.protocol = key->protocol,
+		.rest = htobe64((uint64_t)key->caller_port << 48 |
+				(uint64_t)key->service_port << 32 |
+				(uint64_t)key->protocol << 24),
 	};
 
 	return XXH3_64bits_withSeed(&hashed, sizeof(hashed), seed);
