--- a/include/standins/scenario/channel.h
+++ b/include/standins/scenario/channel.h
@@ -29,7 +29,5 @@
 /** Parses an object; NULL and @error if @text is none. */
 JsonObject *channel_parse(const char *text, struct error *error);
 char *channel_print(JsonObject *object);
-/** Whether something listens on a TCP port. */
-bool channel_is_listening(const char *address, uint16_t port);
 
 #endif
--- a/standins/scenario/channel.c
+++ b/standins/scenario/channel.c
@@ -132,14 +132,3 @@
 	return g_strndup(g_bytes_get_data(answer, NULL),
 			 g_bytes_get_size(answer));
 }
-
-bool channel_is_listening(const char *address, uint16_t port)
-{
-	g_autoptr(GSocketClient) client = g_socket_client_new();
-	g_autoptr(GSocketConnection) connection = NULL;
-
-	g_socket_client_set_timeout(client, 1);
-	connection = g_socket_client_connect_to_host(client, address, port,
-						     NULL, NULL);
-	return connection != NULL;
-}
--- a/standins/scenario/figures.c
+++ b/standins/scenario/figures.c
@@ -52,7 +52,21 @@
 	return true;
 }
 
-/* Lines "name value"; each counter is summed over the balancers too. */
+static void figure_add_least(GHashTable *figures, const char *name,
+			     double value)
+{
+	double *least = g_hash_table_lookup(figures, name);
+
+	if (!least)
+		figure_add(figures, name, value);
+	else
+		*least = MIN(*least, value);
+}
+
+/*
+ * Lines "name value". Each counter is also summed over the balancers, and its
+ * least value is kept, e.g. for the oldest revision in force.
+ */
 static void counters_add(GHashTable *figures, const struct balancer *balancer,
 			 const char *text)
 {
@@ -62,6 +76,7 @@
 		char *space = strrchr(*line, ' ');
 		g_autofree char *all = NULL;
 		g_autofree char *one = NULL;
+		g_autofree char *least = NULL;
 		double value;
 
 		if (!space)
@@ -71,7 +86,9 @@
 		all = g_strconcat("balancers.", *line, NULL);
 		one = g_strdup_printf("balancer.%u.%s", balancer->number,
 				      *line);
+		least = g_strconcat("least.", *line, NULL);
 		figure_add(figures, all, value);
+		figure_add_least(figures, least, value);
 		figure_add(figures, one, value);
 	}
 }
@@ -79,6 +96,7 @@
 /* A balancer that does not answer has no counters; that is no error. */
 static void balancers_add(struct runner *runner, GHashTable *figures)
 {
+	figure_add(figures, "balancers_answering", 0);
 	for (guint i = 0; i < runner->balancers->len; i++) {
 		const struct balancer *balancer = runner->balancers->pdata[i];
 		g_autofree char *url = NULL;
--- a/standins/scenario/fleet.c
+++ b/standins/scenario/fleet.c
@@ -104,12 +104,33 @@
 	return true;
 }
 
+/*
+ * Like the health check of a fabric: a balancer takes packets once its state
+ * says that it is active. One without this state is ready when it listens.
+ */
+static bool balancer_is_ready(const struct balancer *balancer)
+{
+	g_autofree char *url = g_strdup_printf("http://%s:%u/v1/state",
+					       balancer->address,
+					       balancer->admin_port);
+	g_autofree char *text = channel_http(url, NULL, NULL, NULL);
+	JsonObject *state = text ? channel_parse(text, NULL) : NULL;
+	bool is_ready;
+
+	if (!state)
+		return text != NULL;
+	is_ready = json_object_get_boolean_member_with_default(state, "active",
+							       TRUE);
+	json_object_unref(state);
+	return is_ready;
+}
+
 static bool balancer_await(struct balancer *balancer, struct error *error)
 {
 	int64_t bound_us = g_get_monotonic_time() +
 			   (int64_t)(READY_BOUND_S * G_USEC_PER_SEC);
 
-	while (!channel_is_listening(balancer->address, balancer->admin_port)) {
+	while (!balancer_is_ready(balancer)) {
 		if (!process_is_running(balancer->process))
 			return error_set(
 				error, ERROR_IO,
