Add placement, flow and the decision core

Cause: packets need a decision that all balancers agree on, with state only for flows that are off the base host of their bucket.

Ruled out: records sent once without acknowledgement (a replica that misses one treats the flow as unknown and sends it to base), and a table size that is recomputed from the host count (it moves every flow to another bucket). Tables grow by doubling, which keeps the base of each flow.

Change: Maglev targets with quotas, bucket maps with a coordinator that proposes and commits, rendezvous ownership with replicas, numbered record streams, pull and release of shards, grace, drain cut-off, even load, rate limits, address quarantine, answers and the two baselines. message.h gains the kind STREAM_ACKNOWLEDGEMENT, the fields stream and sequence of RECORDS, SHARD_STATE, SHARD_RELEASE and STREAM_ACKNOWLEDGEMENT, and an array of buckets that must stay open in MAP_ACKNOWLEDGEMENT.

--- /dev/null
+++ b/core/choose.c
@@ -0,0 +1,79 @@
+#include "core/core_state.h"
+
+/* Open flows over the mean that are always allowed, for small numbers. */
+#define LOAD_SLACK 1
+
+struct load_sum {
+	int64_t flows;
+	int64_t weight;
+};
+
+static int64_t host_load(const struct host_entry *state)
+{
+	return MAX(state->total, 0);
+}
+
+static struct load_sum loads_sum(const struct core *core,
+				 const struct service_state *service)
+{
+	struct load_sum sum = { 0 };
+
+	for (size_t i = 0; i < service->host_count; i++) {
+		uint32_t weight = host_weight(core, service, service->hosts[i]);
+
+		if (weight == 0)
+			continue;
+		sum.flows += host_load(service->hosts[i]);
+		sum.weight += weight;
+	}
+	return sum;
+}
+
+static bool is_below_margin(const struct core *core,
+			    const struct service_state *service,
+			    const struct host_entry *state)
+{
+	struct load_sum sum = loads_sum(core, service);
+	int64_t permille =
+		1000 + service->service->profile->even_load_margin_permille;
+	int64_t weight = host_weight(core, service, state);
+
+	/* load <= flows / all weights * weight * (1 + margin) */
+	return (host_load(state) - LOAD_SLACK) * 1000 * sum.weight <=
+	       sum.flows * weight * permille;
+}
+
+static struct host_entry *least_loaded(const struct core *core,
+				       const struct service_state *service)
+{
+	struct host_entry *best = NULL;
+	int64_t best_weight = 0;
+
+	for (size_t i = 0; i < service->host_count; i++) {
+		struct host_entry *state = service->hosts[i];
+		int64_t weight = host_weight(core, service, state);
+
+		if (weight == 0)
+			continue;
+		if (!best ||
+		    host_load(state) * best_weight < host_load(best) * weight) {
+			best = state;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+struct host_entry *host_choose(const struct core *core,
+			       const struct service_state *service,
+			       const struct bucket *bucket)
+{
+	struct host_entry *target = bucket->target;
+
+	if (service->service->profile->spread == SPREAD_EVEN_LOAD)
+		return host_accepts(target) &&
+				       is_below_margin(core, service, target)
+			       ? target
+			       : least_loaded(core, service);
+	return host_accepts(target) ? target : least_loaded(core, service);
+}
--- /dev/null
+++ b/core/transfer.c
@@ -0,0 +1,187 @@
+#include <string.h>
+
+#include "core/core_state.h"
+
+#define PIECE_RECORDS 100
+
+struct snapshot {
+	const struct core *core;
+	GArray *records[SHARD_COUNT];
+};
+
+void transfer_want(struct peer *peer, uint32_t shard, enum transfer transfer)
+{
+	enum transfer now = peer->transfers[shard];
+
+	/* A transfer under way is completed before it is repeated. */
+	if (now == TRANSFER_COPY_AND_RELEASE || now == TRANSFER_DRAINING ||
+	    now == TRANSFER_RELEASED)
+		return;
+	if (now == TRANSFER_COPY && transfer != TRANSFER_COPY)
+		transfer = TRANSFER_COPY_AND_RELEASE;
+	if (now == TRANSFER_RELEASE && transfer == TRANSFER_COPY)
+		return;
+	peer->transfers[shard] = (uint8_t)transfer;
+	peer->has_transfers = true;
+}
+
+static bool is_copied(uint8_t transfer)
+{
+	return transfer == TRANSFER_COPY ||
+	       transfer == TRANSFER_COPY_AND_RELEASE;
+}
+
+static bool snapshot_visit(void *context, struct flow_entry *entry)
+{
+	struct snapshot *snapshot = context;
+	uint32_t shard = flow_hash_shard(entry->hash);
+	GArray *records = snapshot->records[shard];
+	struct flow_record record = {
+		.flow_hash = entry->hash,
+		.service_id = entry->service_id,
+		.host_id = entry->host_id,
+		.flags = entry->flags & FLOW_ENTRY_UDP ? FLOW_RECORD_UDP : 0,
+	};
+
+	if (!records || (entry->flags & FLOW_ENTRY_PIN))
+		return true;
+	if (!(entry->flags & FLOW_ENTRY_UNCONFIRMED) ||
+	    snapshot->core->shards[shard].is_acting)
+		g_array_append_val(records, record);
+	return true;
+}
+
+static void snapshot_send(struct core *core, struct peer *peer, uint32_t shard,
+			  GArray *records)
+{
+	guint position = 0;
+
+	do {
+		guint count = MIN(records->len - position, PIECE_RECORDS);
+		struct stream_message message = {
+			.kind = CORE_MESSAGE_SHARD_STATE,
+			.shard = (uint16_t)shard,
+			.records = g_array_new(FALSE, FALSE,
+					       sizeof(struct flow_record)),
+		};
+
+		if (count > 0)
+			g_array_append_vals(message.records,
+					    &g_array_index(records,
+							   struct flow_record,
+							   position),
+					    count);
+		position += count;
+		message.is_last = position == records->len;
+		stream_append(core, peer, STREAM_SHARDS, message);
+	} while (position < records->len);
+}
+
+static bool is_copy_holder(const struct core *core, const struct peer *peer,
+			   uint32_t index)
+{
+	const struct shard *shard = &core->shards[index];
+
+	for (uint32_t i = 0; i < shard->copy_count; i++) {
+		if (shard->copies[i] == peer->id)
+			return true;
+	}
+	return false;
+}
+
+/* No record is created here from now on. */
+static void shard_stop_acting(struct core *core, struct peer *peer,
+			      uint32_t index)
+{
+	struct shard *shard = &core->shards[index];
+
+	shard->is_acting = false;
+	shard->is_orphan = false;
+	shard->copy_count = 0;
+	peer->thresholds[index] = peer->streams[STREAM_RECORDS].out_next - 1;
+	peer->transfers[index] = TRANSFER_DRAINING;
+}
+
+/* What a pull needs by now; the view may have changed since it came. */
+static enum transfer transfer_revise(const struct core *core,
+				     const struct peer *peer, uint32_t index)
+{
+	const struct shard *shard = &core->shards[index];
+	enum transfer transfer = peer->transfers[index];
+
+	if (transfer != TRANSFER_RELEASE &&
+	    transfer != TRANSFER_COPY_AND_RELEASE)
+		return transfer;
+	if (shard->owner_id != peer->id)
+		return TRANSFER_NONE;
+	/* A peer that gets every record already needs no copy again. */
+	if ((shard->is_acting || shard->is_orphan) &&
+	    !is_copy_holder(core, peer, index))
+		return TRANSFER_COPY_AND_RELEASE;
+	return transfer;
+}
+
+static void snapshot_begin(struct core *core, struct peer *peer,
+			   struct snapshot *snapshot)
+{
+	bool has_copies = false;
+
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		peer->transfers[i] = (uint8_t)transfer_revise(core, peer, i);
+		if (!is_copied(peer->transfers[i]))
+			continue;
+		snapshot->records[i] =
+			g_array_new(FALSE, FALSE, sizeof(struct flow_record));
+		has_copies = true;
+	}
+	if (has_copies)
+		flow_table_visit(core->flows, snapshot_visit, snapshot);
+}
+
+void transfers_run(struct core *core, struct peer *peer)
+{
+	struct snapshot snapshot = { .core = core };
+
+	if (!peer->has_transfers)
+		return;
+	peer->has_transfers = false;
+	stream_flush_batch(core, peer);
+	snapshot_begin(core, peer, &snapshot);
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		uint8_t transfer = peer->transfers[i];
+
+		if (snapshot.records[i]) {
+			snapshot_send(core, peer, i, snapshot.records[i]);
+			g_array_free(snapshot.records[i], TRUE);
+		}
+		if (transfer == TRANSFER_COPY)
+			peer->transfers[i] = TRANSFER_NONE;
+		else if (transfer == TRANSFER_COPY_AND_RELEASE ||
+			 transfer == TRANSFER_RELEASE)
+			shard_stop_acting(core, peer, i);
+	}
+	transfers_release(core, peer);
+}
+
+/* A release follows once the peer has every record sent before it. */
+void transfers_release(struct core *core, struct peer *peer)
+{
+	const struct stream *records = &peer->streams[STREAM_RECORDS];
+	const struct stream *shards = &peer->streams[STREAM_SHARDS];
+
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		struct stream_message message = {
+			.kind = CORE_MESSAGE_SHARD_RELEASE,
+			.shard = (uint16_t)i,
+		};
+
+		if (peer->transfers[i] == TRANSFER_RELEASED &&
+		    shards->out_acknowledged + 1 == shards->out_next)
+			peer->transfers[i] = TRANSFER_NONE;
+		if (peer->transfers[i] != TRANSFER_DRAINING ||
+		    records->out_acknowledged < peer->thresholds[i])
+			continue;
+		stream_append(core, peer, STREAM_SHARDS, message);
+		peer->transfers[i] = TRANSFER_RELEASED;
+	}
+}
--- a/include/core/core.h
+++ b/include/core/core.h
@@ -66,6 +66,8 @@
 struct core_options {
 	uint64_t self_id;
 	uint16_t zone;
+	/* Name of the availability zone, as hosts carry it; may be NULL. */
+	const char *zone_name;
 	const struct clock *clock;
 	uint64_t flow_hash_seed;
 	uint64_t random_seed;
--- a/include/core/message.h
+++ b/include/core/message.h
@@ -12,7 +12,7 @@
 enum core_message_kind {
 	CORE_MESSAGE_LOAD, /* open flows by host of the sender */
 	CORE_MESSAGE_MAP_PROPOSAL, /* coordinator to members */
-	CORE_MESSAGE_MAP_ACKNOWLEDGEMENT,
+	CORE_MESSAGE_MAP_ACKNOWLEDGEMENT, /* with buckets that must stay open */
 	CORE_MESSAGE_MAP_COMMIT,
 	CORE_MESSAGE_MAP_REQUEST, /* a member lacks a map or is behind */
 	CORE_MESSAGE_MAP_DIGEST, /* versions of maps held by the sender */
@@ -21,6 +21,7 @@
 	CORE_MESSAGE_SHARD_STATE, /* records of one shard, in pieces */
 	CORE_MESSAGE_SHARD_RELEASE, /* the previous owner has stopped deciding */
 	CORE_MESSAGE_ANSWERS, /* hosts of flows that were passed on */
+	CORE_MESSAGE_STREAM_ACKNOWLEDGEMENT, /* in-order receipt of a stream */
 	CORE_MESSAGE_KINDS,
 };
 
@@ -70,7 +71,19 @@
 	uint16_t shard; /* SHARD_* */
 	uint8_t is_last; /* SHARD_STATE: no further piece follows */
 	uint8_t is_committed; /* MAP_PROPOSAL: already committed */
-	/* MAP_PROPOSAL: table of bucket_count entries each. */
+	/*
+	 * RECORDS, SHARD_STATE, SHARD_RELEASE, STREAM_ACKNOWLEDGEMENT: these
+	 * messages are numbered and repeated until acknowledged, because a
+	 * replica that missed one record would treat the flow as unknown.
+	 */
+	uint64_t stream;
+	uint32_t sequence;
+	/*
+	 * MAP_PROPOSAL: table of bucket_count entries each.
+	 * MAP_ACKNOWLEDGEMENT: only open; 1 if the sender has an exception in a
+	 * bucket that the proposal closes. An acknowledgement without the array
+	 * does not count, so that a lost field never closes a bucket.
+	 */
 	uint32_t bucket_count;
 	const uint32_t *base; /* host ids */
 	const uint32_t *target; /* host ids */
