--- a/include/peer/key_ring.h
+++ b/include/peer/key_ring.h
@@ -25,6 +25,8 @@
 /** Registers key @text for @member_id. It does not make the key accepted. */
 void key_ring_register(struct key_ring *ring, const char *text,
 		       uint64_t member_id);
+/** Marks the key of this instance. Whoever else has it shares the pair. */
+void key_ring_set_own(struct key_ring *ring, const char *text);
 /** Number of an accepted key, or KEY_RING_UNKNOWN. */
 int key_ring_find(const struct key_ring *ring, const char *text);
 /** True if the owner of accepted key @number may send as @member_id. */
--- a/peer/key_ring.c
+++ b/peer/key_ring.c
@@ -6,6 +6,7 @@
 struct key {
 	char *text;
 	bool is_accepted;
+	bool is_own; /* the key of this instance */
 	bool has_pin;
 	uint64_t pin; /* member that first used a key of no member */
 	GArray *members; /* uint64_t */
@@ -77,10 +78,15 @@
 	if (key_has_member(key, member_id))
 		return;
 	g_array_append_val(key->members, member_id);
-	if (key->members->len > 1)
+	if (key->members->len > 1 || key->is_own)
 		ring->is_shared = true;
 }
 
+void key_ring_set_own(struct key_ring *ring, const char *text)
+{
+	key_add(ring, text)->is_own = true;
+}
+
 int key_ring_find(const struct key_ring *ring, const char *text)
 {
 	const struct key *key = g_hash_table_lookup(ring->by_text, text);
@@ -103,7 +109,7 @@
 		return false;
 	if (key->members->len > 0)
 		return key_has_member(key, member_id);
-	if (ring->is_shared)
+	if (ring->is_shared || key->is_own)
 		return true;
 	if (!key->has_pin) {
 		key->has_pin = true;
--- a/peer/transport.c
+++ b/peer/transport.c
@@ -122,8 +122,7 @@
 	transport->peers = g_ptr_array_new_with_free_func(peer_destroy);
 	transport->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	transport->ring = key_ring_create(options->accepted_keys);
-	key_ring_register(transport->ring, options->public_key,
-			  options->self_id);
+	key_ring_set_own(transport->ring, options->public_key);
 	token_bucket_init(&transport->bucket, options->budget_bytes_per_s,
 			  TRANSPORT_BURST_BYTES, clock_now_ns(options->clock));
 	return transport;
