Count datagrams that the kernel drops at a full receive buffer

Cause: such losses were in no counter. Also, datagrams that a callback queued in on_batch_end stayed queued until the next batch.

Ruled out: SO_RXQ_OVFL, which adds a control message to every datagram. SO_MEMINFO is read once per wakeup.

Change: counter receive_overflows; on_batch_end runs before the flush; counter names are bound to their members by offset.

--- a/edge/edge.c
+++ b/edge/edge.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <glib-unix.h>
+#include <stddef.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -13,10 +14,20 @@
  */
 #define EDGE_BATCHES_PER_WAKEUP 8
 
+#define COUNTER_NAME(member) \
+	[offsetof(struct edge_counters, member) / sizeof(uint64_t)] = #member
+
 const char *const edge_counter_names[EDGE_COUNTERS] = {
-	"received",	      "received_bytes", "sent",
-	"sent_bytes",	      "send_errors",	"send_blocked",
-	"connection_refused", "receive_errors", "truncated",
+	COUNTER_NAME(received),
+	COUNTER_NAME(received_bytes),
+	COUNTER_NAME(sent),
+	COUNTER_NAME(sent_bytes),
+	COUNTER_NAME(send_errors),
+	COUNTER_NAME(send_blocked),
+	COUNTER_NAME(connection_refused),
+	COUNTER_NAME(receive_errors),
+	COUNTER_NAME(receive_overflows),
+	COUNTER_NAME(truncated),
 };
 
 struct receive_slot {
@@ -103,6 +114,14 @@
 	}
 }
 
+/* The kernel counts in 32 bits, so the difference is added. */
+static void overflows_add(struct edge *edge)
+{
+	uint64_t *total = &edge->counters.receive_overflows;
+
+	*total += udp_socket_overflows(edge->fd) - (uint32_t)*total;
+}
+
 static gboolean socket_readable(gint fd, GIOCondition condition, gpointer data)
 {
 	struct edge *edge = data;
@@ -115,12 +134,13 @@
 		if (count == 0)
 			break;
 		batch_deliver(edge, count);
-		edge_flush(edge);
 		if (edge->options.on_batch_end)
 			edge->options.on_batch_end(edge->options.context);
+		edge_flush(edge);
 		if (count < EDGE_BATCH)
 			break;
 	}
+	overflows_add(edge);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/edge/socket.c
+++ b/edge/socket.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sock_diag.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <unistd.h>
@@ -72,6 +73,16 @@
 	return length;
 }
 
+uint32_t udp_socket_overflows(int fd)
+{
+	uint32_t values[SK_MEMINFO_VARS] = { 0 };
+	socklen_t length = sizeof(values);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_MEMINFO, values, &length) != 0)
+		return 0;
+	return values[SK_MEMINFO_DROPS];
+}
+
 /*
  * SO_REUSEADDR and SO_REUSEPORT stay off: with either, a second process could
  * bind the same port and take a part of the datagrams.
--- a/include/edge/edge.h
+++ b/include/edge/edge.h
@@ -32,7 +32,10 @@
 	 */
 	void (*on_datagram)(void *context, uint8_t *data, size_t length,
 			    const struct sockaddr_storage *source);
-	/** Called after the last datagram of a batch; may be NULL. */
+	/**
+	 * Called after the last datagram of a batch, before the datagrams
+	 * that were queued meanwhile are sent; may be NULL.
+	 */
 	void (*on_batch_end)(void *context);
 	void *context;
 };
@@ -50,6 +53,8 @@
 	/* "Connection refused" reported for an earlier datagram; ignored. */
 	uint64_t connection_refused;
 	uint64_t receive_errors;
+	/* Dropped by the kernel because the receive buffer was full. */
+	uint64_t receive_overflows;
 	uint64_t truncated; /* longer than EDGE_DATAGRAM_BYTES, dropped */
 };
 
--- a/tests/edge/test_edge.c
+++ b/tests/edge/test_edge.c
@@ -215,6 +215,32 @@
 }
 END_TEST
 
+/* Datagrams lost in the kernel would otherwise be missing from all counters. */
+START_TEST(overflow_is_counted) {
+	struct peer client = { 0 }, server = { 0 };
+	struct edge_options options = {
+		.address = "127.0.0.1",
+		.receive_buffer_bytes = 8192,
+		.on_datagram = datagram_take,
+		.context = &server,
+	};
+
+	peer_open(&client);
+	server.edge = edge_create(&options, NULL);
+	for (int i = 0; i < 1000; i++)
+		peer_send(&client, &server, "x", 1);
+	edge_flush(client.edge);
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	ck_assert_uint_gt(edge_counters(server.edge)->receive_overflows, 0);
+	ck_assert_uint_eq(edge_counters(server.edge)->receive_overflows +
+				  server.received,
+			  1000);
+	edge_destroy(client.edge);
+	edge_destroy(server.edge);
+}
+END_TEST
+
 /* An IPv6 socket reaches IPv4 hosts, and reports their IPv4 address. */
 START_TEST(mapped_addresses) {
 	struct edge_options options = { .address = "::" };
@@ -256,6 +282,7 @@
 	tcase_add_test(tests, long_datagram_is_dropped);
 	tcase_add_test(tests, bad_destination_does_not_stop_the_batch);
 	tcase_add_test(tests, flood_does_not_starve_the_loop);
+	tcase_add_test(tests, overflow_is_counted);
 	tcase_add_test(tests, mapped_addresses);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
