--- a/configuration/configuration.c
+++ b/configuration/configuration.c
@@ -39,25 +39,49 @@
 	return g_list_sort(g_hash_table_get_keys(parts), (GCompareFunc)strcmp);
 }
 
-uint64_t configuration_index_digest(GHashTable *parts)
+GHashTable *configuration_part_digests(GHashTable *parts)
 {
-	GList *names = sorted_names(parts);
-	GString *lines = g_string_new(NULL);
-	uint64_t digest;
+	GHashTable *digests =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	GHashTableIter iterator;
+	gpointer name;
+	gpointer part;
 
-	for (GList *name = names; name; name = name->next) {
-		GBytes *part = g_hash_table_lookup(parts, name->data);
+	g_hash_table_iter_init(&iterator, parts);
+	while (g_hash_table_iter_next(&iterator, &name, &part)) {
+		uint64_t digest = configuration_part_digest(part);
 
-		g_string_append_printf(lines, "%s=%016" PRIx64 "\n",
-				       (const char *)name->data,
-				       configuration_part_digest(part));
+		g_hash_table_insert(digests, g_strdup(name),
+				    g_memdup2(&digest, sizeof(digest)));
 	}
+	return digests;
+}
+
+uint64_t configuration_digest_of_digests(GHashTable *digests)
+{
+	GList *names = sorted_names(digests);
+	GString *lines = g_string_new(NULL);
+	uint64_t digest;
+
+	for (GList *name = names; name; name = name->next)
+		g_string_append_printf(
+			lines, "%s=%016" PRIx64 "\n", (const char *)name->data,
+			*(uint64_t *)g_hash_table_lookup(digests, name->data));
 	digest = XXH3_64bits(lines->str, lines->len);
 	g_string_free(lines, TRUE);
 	g_list_free(names);
 	return digest;
 }
 
+uint64_t configuration_index_digest(GHashTable *parts)
+{
+	GHashTable *digests = configuration_part_digests(parts);
+	uint64_t digest = configuration_digest_of_digests(digests);
+
+	g_hash_table_unref(digests);
+	return digest;
+}
+
 static bool read_profiles(struct configuration *configuration,
 			  GHashTable *labels, struct error *error)
 {
--- a/include/configuration/configuration.h
+++ b/include/configuration/configuration.h
@@ -146,6 +146,10 @@
 const struct field_table *configuration_service_fields(void);
 /** Digest of one part's bytes: XXH3 64-bit. */
 uint64_t configuration_part_digest(GBytes *part);
+/** Digests of @parts: name to guint64 *, both owned by the result. */
+GHashTable *configuration_part_digests(GHashTable *parts);
+/** Digest over the sorted "name=digest" lines of @digests. */
+uint64_t configuration_digest_of_digests(GHashTable *digests);
 /** Digest over the sorted "name=digest" lines of @parts. */
 uint64_t configuration_index_digest(GHashTable *parts);
 
--- a/include/peer/message_codec.h
+++ b/include/peer/message_codec.h
@@ -37,6 +37,12 @@
 	struct heartbeat heartbeat;
 	struct core_message core;
 	uint64_t revision; /* REVISION_*, PART_* */
+	/*
+	 * REVISION_REQUEST: revision that the sender has, 0 for none.
+	 * REVISION_INDEX: revision that @parts are the changes to, a removed
+	 * part having digest 0; or 0, and @parts are complete.
+	 */
+	uint64_t base_revision;
 	struct part_reference *parts; /* REVISION_INDEX */
 	size_t part_count;
 	char *part_name; /* PART_REQUEST, PART */
