--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -31,6 +31,7 @@
 	struct balancer *balancer = context;
 
 	core_set_view(balancer->core, view);
+	revision_sync_set_view(balancer->revision_sync, view);
 	if (view->version == balancer->view_version)
 		return;
 	balancer->view_version = view->version;
@@ -44,9 +45,10 @@
 static void heartbeat_received(void *context, uint64_t sender_id,
 			       const struct heartbeat *heartbeat)
 {
-	(void)context;
-	(void)sender_id;
-	(void)heartbeat;
+	struct balancer *balancer = context;
+
+	revision_sync_handle_heartbeat(balancer->revision_sync, sender_id,
+				       heartbeat);
 }
 
 static void core_message_received(void *context, uint64_t sender_id,
@@ -60,9 +62,19 @@
 static void revision_message_received(void *context, uint64_t sender_id,
 				      const struct peer_message *message)
 {
-	(void)context;
-	(void)sender_id;
-	(void)message;
+	struct balancer *balancer = context;
+
+	revision_sync_handle_message(balancer->revision_sync, sender_id,
+				     message);
+}
+
+static void revision_message_send(void *context, uint64_t member_id,
+				  const struct peer_message *message)
+{
+	struct balancer *balancer = context;
+
+	peering_send(balancer->peering, member_id, message,
+		     MESSAGE_PRIORITY_REVISION);
 }
 
 /* Takes over a reference to @configuration. */
@@ -82,6 +94,7 @@
 	balancer->revision_applied_ns = clock_now_ns(balancer->clock);
 	membership_set_revision(peering_membership(balancer->peering),
 				configuration->revision, configuration->digest);
+	revision_sync_set_current(balancer->revision_sync, configuration);
 	if (balancer->platform)
 		platform_set_current(balancer->platform, configuration);
 	log_event(LOG_LEVEL_INFO, "revision_applied",
@@ -96,6 +109,21 @@
 	configuration_apply(context, configuration, "platform");
 }
 
+static void peer_revision(void *context, struct configuration *configuration)
+{
+	configuration_apply(context, configuration, "peer");
+}
+
+static void reader_changed(void *context, bool is_reader)
+{
+	struct balancer *balancer = context;
+
+	if (!balancer->platform)
+		return;
+	platform_set_watching(balancer->platform, is_reader);
+	log_event(LOG_LEVEL_INFO, "reader_changed", "reader=%d", is_reader);
+}
+
 static void revision_refused(void *context, uint64_t revision,
 			     const struct error *error)
 {
@@ -164,6 +192,7 @@
 
 	membership_tick(membership);
 	core_tick(balancer->core);
+	revision_sync_tick(balancer->revision_sync);
 	packets_note(balancer);
 	if (!balancer->is_leaving && !balancer->is_active &&
 	    core_is_synchronized(balancer->core)) {
@@ -243,6 +272,23 @@
 	balancer->core = core_create(&options);
 }
 
+static void revision_sync_open(struct balancer *balancer)
+{
+	const struct revision_sync_options options = {
+		.self_id = instance_id_hash(balancer->settings->instance_id),
+		.clock = balancer->clock,
+		.random_seed = balancer->random_seed,
+		.send = revision_message_send,
+		.peer_count = balancer->settings->peer_count,
+		.on_configuration = peer_revision,
+		.on_refused = revision_refused,
+		.on_reader = reader_changed,
+		.context = balancer,
+	};
+
+	balancer->revision_sync = revision_sync_create(&options);
+}
+
 static void platform_open(struct balancer *balancer)
 {
 	const struct platform_options options = {
@@ -259,7 +305,9 @@
 	if (balancer->settings->platform_url[0])
 		balancer->platform = platform_create(&options);
 	if (balancer->platform)
-		platform_set_watching(balancer->platform, true);
+		platform_set_watching(
+			balancer->platform,
+			revision_sync_is_reader(balancer->revision_sync));
 }
 
 struct balancer *balancer_create(const struct settings *settings,
@@ -280,6 +328,7 @@
 	balancer->revision_source = "none";
 	balancer->loop = g_main_loop_new(NULL, FALSE);
 	core_open(balancer);
+	revision_sync_open(balancer);
 	if (!peering_open(balancer, error))
 		goto fail;
 	forwarder_options.core = balancer->core;
@@ -306,6 +355,7 @@
 	balancer_admin_close(balancer);
 	forwarder_destroy(balancer->forwarder);
 	peering_destroy(balancer->peering);
+	revision_sync_destroy(balancer->revision_sync);
 	core_destroy(balancer->core);
 	if (balancer->configuration)
 		configuration_unref(balancer->configuration);
