--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -14,6 +14,7 @@
 #include "parsleyladder/balancer.h"
 #include "parsleyladder/forwarder.h"
 #include "parsleyladder/peering.h"
+#include "peer/revision_sync.h"
 #include "platform/platform.h"
 
 struct balancer {
@@ -24,6 +25,7 @@
 	struct core *core;
 	struct forwarder *forwarder;
 	struct peering *peering;
+	struct revision_sync *revision_sync;
 	struct platform *platform; /* NULL if configured from files */
 	struct admin *admin;
 	struct configuration *configuration; /* in force, or NULL */
--- a/parsleyladder/balancer_state.c
+++ b/parsleyladder/balancer_state.c
@@ -61,6 +61,10 @@
 	core_print_json(balancer->core, builder);
 	json_builder_end_object(builder);
 	peering_print_json(balancer->peering, builder);
+	json_builder_set_member_name(builder, "revision_sync");
+	json_builder_begin_object(builder);
+	revision_sync_print_json(balancer->revision_sync, builder);
+	json_builder_end_object(builder);
 	if (balancer->platform) {
 		json_builder_set_member_name(builder, "platform");
 		json_builder_begin_object(builder);
--- a/peer/message_codec.c
+++ b/peer/message_codec.c
@@ -98,6 +98,21 @@
 	return wire_reader_is_done(&wire);
 }
 
+static void revision_encode(const struct peer_message *message,
+			    struct field_writer *writer)
+{
+	field_write_uint(writer, message->revision);
+	field_write_uint(writer, message->base_revision);
+}
+
+static bool revision_decode(struct peer_message *message,
+			    struct array_reader *reader)
+{
+	message->revision = field_read_uint(reader, UINT64_MAX);
+	message->base_revision = field_read_uint(reader, UINT64_MAX);
+	return !reader->is_bad;
+}
+
 static void part_encode(const struct peer_message *message,
 			struct field_writer *writer)
 {
@@ -131,15 +146,19 @@
 	case PEER_MESSAGE_CORE:
 		return HEADER_FIELDS + 1 +
 		       core_message_field_count(message->core.kind);
-	case PEER_MESSAGE_REVISION_INDEX:
+	case PEER_MESSAGE_REVISION_REQUEST:
 		return HEADER_FIELDS + 2;
+	case PEER_MESSAGE_REVISION_INDEX:
+		return HEADER_FIELDS + 3;
 	case PEER_MESSAGE_PART_REQUEST:
 		return HEADER_FIELDS + 3;
 	case PEER_MESSAGE_PART:
 		return HEADER_FIELDS + 4;
-	default:
-		return HEADER_FIELDS + 1;
+	case PEER_MESSAGE_HEARTBEAT:
+	case PEER_MESSAGE_KINDS:
+		break;
 	}
+	return HEADER_FIELDS + 1;
 }
 
 GByteArray *peer_message_encode(const struct peer_message *message)
@@ -158,16 +177,18 @@
 		field_write_uint(&writer, message->core.kind);
 		core_message_encode(&message->core, &writer);
 		break;
+	case PEER_MESSAGE_REVISION_REQUEST:
+		revision_encode(message, &writer);
+		break;
 	case PEER_MESSAGE_REVISION_INDEX:
-		field_write_uint(&writer, message->revision);
+		revision_encode(message, &writer);
 		index_encode(message, &writer);
 		break;
 	case PEER_MESSAGE_PART_REQUEST:
 	case PEER_MESSAGE_PART:
 		part_encode(message, &writer);
 		break;
-	default:
-		field_write_uint(&writer, message->revision);
+	case PEER_MESSAGE_KINDS:
 		break;
 	}
 	return out;
@@ -184,16 +205,18 @@
 			field_read_uint(reader, CORE_MESSAGE_KINDS - 1);
 		return !reader->is_bad &&
 		       core_message_decode(&message->core, reader);
+	case PEER_MESSAGE_REVISION_REQUEST:
+		return revision_decode(message, reader);
 	case PEER_MESSAGE_REVISION_INDEX:
-		message->revision = field_read_uint(reader, UINT64_MAX);
-		return index_decode(message, reader);
+		return revision_decode(message, reader) &&
+		       index_decode(message, reader);
 	case PEER_MESSAGE_PART_REQUEST:
 	case PEER_MESSAGE_PART:
 		return part_decode(message, reader);
-	default:
-		message->revision = field_read_uint(reader, UINT64_MAX);
-		return !reader->is_bad;
+	case PEER_MESSAGE_KINDS:
+		break;
 	}
+	return false;
 }
 
 struct peer_message *peer_message_decode(const uint8_t *data, size_t length,
