--- a/core/owner.c
+++ b/core/owner.c
@@ -39,6 +39,7 @@
 {
 	struct host_entry *state = host_state_find(core, entry->host_id);
 	bool is_new = decision->kind == PACKET_NEW;
+	bool is_recorded;
 
 	if (!state) {
 		/* Its host is in a revision that has not arrived yet. */
@@ -57,9 +58,16 @@
 				     CORE_REASON_HOST_GONE);
 			return true;
 		}
+		is_recorded = !(entry->flags & FLOW_ENTRY_PIN);
 		if (!decision->is_dry)
 			entry_forget(core, entry);
-		return false;
+		/*
+		 * Copies still have the old host, so that a packet that follows
+		 * at once would go there. The repeated SYN is placed anew.
+		 */
+		if (is_recorded && state->host)
+			decision_end(decision, CORE_DROP, CORE_REASON_NO_HOST);
+		return is_recorded && state->host;
 	}
 	entry_touch(core, decision, entry);
 	decision_forward(core, decision, state,
@@ -153,7 +161,8 @@
 		return false;
 	if (base->drain_since_ns != 0)
 		return core->now_ns < base->drain_since_ns + DRAIN_GRACE_NS;
-	return (bucket->flags & BUCKET_GRACE) && host_accepts(base) &&
+	/* Silence is an observation that may be wrong, so it does not count. */
+	return (bucket->flags & BUCKET_GRACE) &&
 	       core->now_ns < decision->service->grace_until_ns;
 }
 
--- a/core/records.c
+++ b/core/records.c
@@ -67,6 +67,8 @@
 			flow_table_remove(core->flows, record->flow_hash);
 		return;
 	}
+	if ((record->flags & FLOW_RECORD_PIN) && entry)
+		return;
 	/* State is older than what came as a record. */
 	if (entry && is_state && !(entry->flags & FLOW_ENTRY_UNCONFIRMED) &&
 	    !(entry->flags & FLOW_ENTRY_PIN))
@@ -80,6 +82,8 @@
 	entry->host_id = record->host_id;
 	entry->seen_ds = core_now_ds(core);
 	entry->flags = record->flags & FLOW_RECORD_UDP ? FLOW_ENTRY_UDP : 0;
+	if (record->flags & FLOW_RECORD_PIN)
+		entry->flags = FLOW_ENTRY_PIN;
 }
 
 static bool confirmed_visit(void *context, struct flow_entry *entry)
--- a/core/shards.c
+++ b/core/shards.c
@@ -37,6 +37,17 @@
 	return core->options.self_id;
 }
 
+/* Whether a member of the old view still has the state that it had then. */
+static bool is_surviving(const struct core *core, const struct member_view *old,
+			 uint64_t member_id)
+{
+	const struct member *now = view_member(core->view, member_id);
+	const struct member *before = old ? view_member(old, member_id) : NULL;
+
+	return now && is_source(now) && before &&
+	       before->incarnation == now->incarnation;
+}
+
 /* First of the old copies whose member is still in view, 0 if none is. */
 static uint64_t surviving_copy(const struct core *core,
 			       const struct member_view *old,
@@ -45,7 +56,7 @@
 	for (uint32_t i = 0; old && i < members->replica_count; i++) {
 		uint64_t id = old->members[members->replicas[i]].id;
 
-		if (view_member(core->view, id))
+		if (is_surviving(core, old, id))
 			return id;
 	}
 	return 0;
@@ -91,7 +102,7 @@
 	/* Several members may have records of their own; none knows all. */
 	if (is_merging)
 		return;
-	if (old_owner_id != 0 && view_member(core->view, old_owner_id)) {
+	if (is_surviving(core, old, old_owner_id)) {
 		shard->hint_id = old_owner_id;
 		return;
 	}
@@ -116,7 +127,7 @@
 		shard->lost_at_ns = core->now_ns;
 		return;
 	}
-	if (old_owner_id == 0 || view_member(core->view, old_owner_id))
+	if (old_owner_id == 0 || is_surviving(core, old, old_owner_id))
 		return;
 	shard->is_orphan = true;
 	/* The new owner asks the first copy until it has one of its own. */
@@ -323,11 +334,15 @@
 			if (shard->sources->len > 0 &&
 			    core->now_ns >= shard->pull_at_ns)
 				shard_pull(core, i);
-		} else if (shard->is_acting && shard->owner_id != 0 &&
-			   core->now_ns >= shard->lost_at_ns + PUSH_DELAY_NS) {
+			continue;
+		}
+		if (shard->sources->len > 0 &&
+		    core->now_ns >= shard->lost_at_ns + PULL_GIVE_UP_NS)
+			g_array_set_size(shard->sources, 0);
+		if (shard->is_acting && shard->owner_id != 0 &&
+		    core->now_ns >= shard->lost_at_ns + PUSH_DELAY_NS)
 			transfer_want(peer_get(core, shard->owner_id), i,
 				      TRANSFER_RELEASE);
-		}
 	}
 }
 
--- a/core/stream.c
+++ b/core/stream.c
@@ -120,9 +120,11 @@
 		if (message->sequence >
 		    stream->out_acknowledged + STREAM_WINDOW)
 			return;
+		/* Later messages must not put off repeating a lost one. */
+		if (stream->out_sent == stream->out_acknowledged)
+			stream->resend_at_ns = core->now_ns + STREAM_RESEND_NS;
 		message_send(core, peer, stream, message);
 		stream->out_sent = message->sequence;
-		stream->resend_at_ns = core->now_ns + STREAM_RESEND_NS;
 	}
 }
 
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -6,7 +6,9 @@
 
 struct snapshot {
 	const struct core *core;
-	GArray *records[SHARD_COUNT];
+	GArray *records[SHARD_COUNT]; /* NULL if nothing is sent */
+	bool has_records[SHARD_COUNT];
+	bool has_pins[SHARD_COUNT];
 };
 
 void transfer_want(struct peer *peer, uint32_t shard, enum transfer transfer)
@@ -25,12 +27,6 @@
 	peer->has_transfers = true;
 }
 
-static bool is_copied(uint8_t transfer)
-{
-	return transfer == TRANSFER_COPY ||
-	       transfer == TRANSFER_COPY_AND_RELEASE;
-}
-
 static bool snapshot_visit(void *context, struct flow_entry *entry)
 {
 	struct snapshot *snapshot = context;
@@ -43,7 +39,15 @@
 		.flags = entry->flags & FLOW_ENTRY_UDP ? FLOW_RECORD_UDP : 0,
 	};
 
-	if (!records || (entry->flags & FLOW_ENTRY_PIN))
+	if (!records)
+		return true;
+	if (entry->flags & FLOW_ENTRY_PIN) {
+		record.flags = FLOW_RECORD_PIN;
+		if (snapshot->has_pins[shard])
+			g_array_append_val(records, record);
+		return true;
+	}
+	if (!snapshot->has_records[shard])
 		return true;
 	if (!(entry->flags & FLOW_ENTRY_UNCONFIRMED) ||
 	    snapshot->core->shards[shard].is_acting)
@@ -127,8 +131,18 @@
 	bool has_copies = false;
 
 	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		uint8_t transfer;
+
 		peer->transfers[i] = (uint8_t)transfer_revise(core, peer, i);
-		if (!is_copied(peer->transfers[i]))
+		transfer = peer->transfers[i];
+		snapshot->has_records[i] = transfer == TRANSFER_COPY ||
+					   transfer ==
+						   TRANSFER_COPY_AND_RELEASE;
+		/* A new owner has to place a repeated SYN as before. */
+		snapshot->has_pins[i] = transfer == TRANSFER_COPY_AND_RELEASE ||
+					(transfer == TRANSFER_RELEASE &&
+					 core->shards[i].is_acting);
+		if (!snapshot->has_records[i] && !snapshot->has_pins[i])
 			continue;
 		snapshot->records[i] =
 			g_array_new(FALSE, FALSE, sizeof(struct flow_record));
--- a/include/core/message.h
+++ b/include/core/message.h
@@ -51,6 +51,7 @@
 enum flow_record_flag {
 	FLOW_RECORD_ENDED = 0x01, /* the flow is closed, forget the record */
 	FLOW_RECORD_UDP = 0x02,
+	FLOW_RECORD_PIN = 0x04, /* on base; sent to a new owner for its SYN */
 };
 
 struct flow_record {
