--- a/include/peer/field_codec.h
+++ b/include/peer/field_codec.h
@@ -43,7 +43,7 @@
 		       size_t length);
 uint64_t field_read_uint(struct array_reader *reader, uint64_t max);
 const uint8_t *field_read_bytes(struct array_reader *reader, size_t *length);
-/** Copies a text of at most @max bytes without NUL; NULL if there is none. */
+/** Copies a text of 1 to @max bytes without NUL; NULL if there is none. */
 char *field_read_text(struct array_reader *reader, size_t max);
 /** True if every field was read and none was bad. */
 bool array_reader_is_done(const struct array_reader *reader);
--- a/peer/field_codec.c
+++ b/peer/field_codec.c
@@ -141,7 +141,8 @@
 
 	if (!field)
 		return NULL;
-	if (field->via.str.size > max ||
+	/* The unpacker gives an empty text a null pointer. */
+	if (field->via.str.size == 0 || field->via.str.size > max ||
 	    memchr(field->via.str.ptr, '\0', field->via.str.size)) {
 		reader->is_bad = true;
 		return NULL;
