--- a/common/token_bucket.c
+++ b/common/token_bucket.c
@@ -8,35 +8,33 @@
 	bucket->rate_per_s = rate_per_s;
 	bucket->burst = burst;
 	bucket->tokens = burst;
+	bucket->fraction = 0;
 	bucket->updated_ns = now_ns;
 }
 
 static void token_bucket_refill(struct token_bucket *bucket, int64_t now_ns)
 {
 	int64_t elapsed_ns = now_ns - bucket->updated_ns;
-	int64_t missing = bucket->burst - bucket->tokens;
-	int64_t rate = bucket->rate_per_s;
-	int64_t gained;
+	uint64_t missing = (uint64_t)(bucket->burst - bucket->tokens);
+	uint64_t rate = bucket->rate_per_s;
+	uint64_t credit;
 
 	if (elapsed_ns <= 0 || rate == 0)
 		return;
-	/* Whole seconds first, so that the product below cannot overflow. */
-	if (elapsed_ns / NS_PER_S > missing / rate) {
-		bucket->tokens = bucket->burst;
-		bucket->updated_ns = now_ns;
-		return;
-	}
-	gained = elapsed_ns / NS_PER_S * rate +
-		 elapsed_ns % NS_PER_S * rate / NS_PER_S;
-	if (gained >= missing) {
+	bucket->updated_ns = now_ns;
+	credit = bucket->fraction;
+	bucket->fraction = 0;
+	/* At most a second more than it takes to fill, so nothing overflows. */
+	if ((uint64_t)(elapsed_ns / NS_PER_S) <= missing / rate)
+		credit += (uint64_t)elapsed_ns * rate;
+	else
+		credit = missing * NS_PER_S;
+	if (credit / NS_PER_S >= missing) {
 		bucket->tokens = bucket->burst;
-		bucket->updated_ns = now_ns;
 		return;
 	}
-	bucket->tokens += gained;
-	/* Advance by the time of whole tokens only, to keep the fraction. */
-	bucket->updated_ns +=
-		gained / rate * NS_PER_S + gained % rate * NS_PER_S / rate;
+	bucket->tokens += (int64_t)(credit / NS_PER_S);
+	bucket->fraction = credit % NS_PER_S;
 }
 
 int64_t token_bucket_available(struct token_bucket *bucket, int64_t now_ns)
--- a/include/common/token_bucket.h
+++ b/include/common/token_bucket.h
@@ -13,6 +13,7 @@
 	uint32_t rate_per_s;
 	uint32_t burst;
 	int64_t tokens; /* below 0 after token_bucket_force() */
+	uint64_t fraction; /* of a token, in 1e-9; lost when the bucket is full */
 	int64_t updated_ns;
 };
 
--- a/include/peer/transport_state.h
+++ b/include/peer/transport_state.h
@@ -14,6 +14,8 @@
 /* ZMTP frame header, and name, nonce, authenticator and flags of CURVE. */
 #define TRANSPORT_OVERHEAD_BYTES 35
 #define TRANSPORT_BURST_BYTES 65536
+/* Messages that wait for all peers together; heartbeats always fit. */
+#define TRANSPORT_QUEUED_BYTES_MAX (16 * 1024 * 1024)
 
 /** Sending side of one peer, and what it is sending in pieces. */
 struct transport_peer {
@@ -59,6 +61,7 @@
 	guint first_peer; /* where the next round of sending begins */
 	guint flush_source; /* timer, 0 if nothing waits */
 	int64_t expire_ns;
+	size_t queued_bytes; /* upper bound, corrected every 250 ms */
 	uint64_t routing_nonce;
 	struct transport_counters counters;
 };
--- a/peer/transport_send.c
+++ b/peer/transport_send.c
@@ -171,6 +171,15 @@
 	return true;
 }
 
+static size_t peer_queued_bytes(const struct transport_peer *peer)
+{
+	size_t sum = 0;
+
+	for (unsigned int i = 0; i < MESSAGE_PRIORITIES; i++)
+		sum += peer->queue.bytes[i];
+	return sum;
+}
+
 static void peer_expire(struct transport *transport,
 			struct transport_peer *peer, int64_t now_ns)
 {
@@ -194,14 +203,18 @@
 	bool is_due = now_ns >= transport->expire_ns;
 	bool is_waiting = false;
 
-	if (is_due)
+	if (is_due) {
 		transport->expire_ns = now_ns + EXPIRE_INTERVAL_MS * NS_PER_MS;
+		transport->queued_bytes = 0;
+	}
 	for (guint i = 0; i < transport->peers->len; i++) {
 		struct transport_peer *peer =
 			g_ptr_array_index(transport->peers, i);
 
-		if (is_due)
+		if (is_due) {
 			peer_expire(transport, peer, now_ns);
+			transport->queued_bytes += peer_queued_bytes(peer);
+		}
 		is_waiting |= !send_queue_is_empty(&peer->queue);
 	}
 	return is_waiting;
@@ -241,10 +254,13 @@
 
 	if ((unsigned int)priority >= MESSAGE_PRIORITIES)
 		return;
-	if (!peer) {
+	if (!peer ||
+	    (priority != MESSAGE_PRIORITY_HEARTBEAT &&
+	     transport->queued_bytes + length > TRANSPORT_QUEUED_BYTES_MAX)) {
 		transport->counters.dropped[priority]++;
 		return;
 	}
+	transport->queued_bytes += length;
 	transport->counters.dropped[priority] +=
 		send_queue_push(&peer->queue, priority, data, length,
 				clock_now_ns(transport->clock));
