--- a/configuration/field_print.c
+++ b/configuration/field_print.c
@@ -14,6 +14,13 @@
 				       choice->name);
 }
 
+static const char *list_elements(enum field_type type)
+{
+	if (type == FIELD_OBJECT_LIST)
+		return "objects";
+	return type == FIELD_KEY_LIST ? "keys" : "texts";
+}
+
 void field_print_allowed(const struct field *field, GString *text)
 {
 	switch (field->type) {
@@ -36,17 +43,19 @@
 		g_string_append(text, "an IPv4 or IPv6 address");
 		break;
 	case FIELD_KEY:
-	case FIELD_KEY_LIST:
 		g_string_append(text, "40 characters of Z85");
 		break;
 	case FIELD_URL:
 		g_string_append(text, "an http URL without query");
 		break;
+	case FIELD_TEXT_LIST:
+	case FIELD_KEY_LIST:
 	case FIELD_OBJECT_LIST:
 		g_string_append_printf(text,
 				       "a list of %" G_GINT64_FORMAT
-				       " to %" G_GINT64_FORMAT " objects",
-				       field->min, field->max);
+				       " to %" G_GINT64_FORMAT " %s",
+				       field->min, field->max,
+				       list_elements(field->type));
 		break;
 	default:
 		g_string_append_printf(text,
@@ -141,6 +150,25 @@
 	}
 }
 
+char *field_print_value(const struct field *field, const void *source)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	/* A builder needs a container; its brackets are cut off again. */
+	json_builder_begin_array(builder);
+	print_value(field, source, builder);
+	json_builder_end_array(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(builder);
+	memmove(text, text + 1, strlen(text));
+	text[strlen(text) - 1] = '\0';
+	return text;
+}
+
 void field_table_print(const struct field_table *table, const void *source,
 		       JsonBuilder *builder)
 {
--- a/configuration/field_reader.c
+++ b/configuration/field_reader.c
@@ -146,7 +146,6 @@
 	case FIELD_ADDRESS_TEXT:
 		return ip_address_parse(text, &address);
 	case FIELD_KEY:
-	case FIELD_KEY_LIST:
 		return key_is_valid(text) && (length > 0 || field->min == 0);
 	case FIELD_URL:
 		return length <= field->max && url_is_valid(text);
@@ -252,7 +251,11 @@
 		       JsonNode *node, void *target)
 {
 	/* Each element is checked as a text of 1 to 255 bytes, or a key. */
-	struct field element = { .type = field->type, .min = 1, .max = 255 };
+	struct field element = {
+		.type = field->type == FIELD_KEY_LIST ? FIELD_KEY : FIELD_TEXT,
+		.min = 1,
+		.max = 255,
+	};
 	JsonArray *array = read_list(reader, field, node);
 	size_t path_bytes = reader->path->len;
 	char **texts;
@@ -380,6 +383,20 @@
 	return false;
 }
 
+static bool fail_unknown(struct field_reader *reader,
+			 const struct field_table *table, const char *name)
+{
+	GString *names = g_string_new(NULL);
+
+	for (size_t i = 0; i < table->field_count; i++)
+		g_string_append_printf(names, "%s%s", i > 0 ? ", " : "",
+				       table->fields[i].name);
+	g_string_append_printf(reader->path, ".%.*s", VALUE_BYTES_MAX, name);
+	field_reader_fail(reader, "unknown field, allowed %s", names->str);
+	g_string_free(names, TRUE);
+	return false;
+}
+
 static bool check_unknown(struct field_reader *reader,
 			  const struct field_table *table, JsonObject *object)
 {
@@ -387,12 +404,8 @@
 	bool is_known = true;
 
 	for (GList *name = names; name && is_known; name = name->next) {
-		is_known = has_field(table, name->data);
-		if (is_known)
-			continue;
-		g_string_append_printf(reader->path, ".%.*s", VALUE_BYTES_MAX,
-				       (const char *)name->data);
-		field_reader_fail(reader, "unknown field");
+		if (!has_field(table, name->data))
+			is_known = fail_unknown(reader, table, name->data);
 	}
 	g_list_free(names);
 	return is_known;
--- a/include/configuration/field_reader.h
+++ b/include/configuration/field_reader.h
@@ -99,6 +99,8 @@
 
 /** Writes what values @field allows, for errors and documentation. */
 void field_print_allowed(const struct field *field, GString *text);
+/** Value of one field of @source as compact JSON; g_free() the result. */
+char *field_print_value(const struct field *field, const void *source);
 /** Writes @source as a JSON object, secrets masked. */
 void field_table_print(const struct field_table *table, const void *source,
 		       JsonBuilder *builder);
--- a/include/parsleyladder/command.h
+++ b/include/parsleyladder/command.h
@@ -17,6 +17,9 @@
 /** Prints name and summary of every command to the standard output. */
 void command_list(void);
 
+int command_check_config(int argc, char **argv);
+int command_check_settings(int argc, char **argv);
+int command_print_settings(int argc, char **argv);
 int command_version(int argc, char **argv);
 
 #endif
--- a/parsleyladder/command.c
+++ b/parsleyladder/command.c
@@ -6,6 +6,12 @@
 
 /* Sorted by name for bsearch(). */
 static const struct command commands[] = {
+	{ "check-config", "check a configuration, and say what a change does",
+	  command_check_config },
+	{ "check-settings", "check the settings of a process",
+	  command_check_settings },
+	{ "print-settings", "print the settings of a process with defaults",
+	  command_print_settings },
 	{ "version", "print the version", command_version },
 };
 
--- /dev/null
+++ b/parsleyladder/commands/check_settings.c
@@ -0,0 +1,20 @@
+#include <stdio.h>
+
+#include "parsleyladder/command.h"
+#include "parsleyladder/settings_argument.h"
+
+int command_check_settings(int argc, char **argv)
+{
+	char name[] = "parsleyladder check-settings";
+	int exit_code;
+	struct settings *settings = settings_argument_load(
+		argc, argv, name, "Checks the settings of a process.",
+		&exit_code);
+
+	if (!settings)
+		return exit_code;
+	printf("valid: instance %s, %zu peers\n", settings->instance_id,
+	       settings->peer_count);
+	settings_destroy(settings);
+	return 0;
+}
--- a/tests/configuration/test_configuration.c
+++ b/tests/configuration/test_configuration.c
@@ -55,7 +55,8 @@
 	  EXAMEN "$.name: \"exam\" differs from the part's name, allowed "
 		 "\"examen\"" },
 	{ "service/examen", "\"port\":443", "\"port\":443,\"proto\":\"tcp\"",
-	  EXAMEN "$.addresses[0].proto: unknown field" },
+	  EXAMEN "$.addresses[0].proto: unknown field, allowed address, port, "
+		 "protocol" },
 	{ "service/examen", "\"port\":443",
 	  "\"port\":443,\"protocol\":\"sctp\"",
 	  EXAMEN "$.addresses[0].protocol: \"sctp\" is not known, allowed tcp, "
--- a/tests/configuration/test_settings.c
+++ b/tests/configuration/test_settings.c
@@ -49,7 +49,13 @@
 	{ "7000", "0x10", "f: line 1: unexpected character" },
 	{ "7000", "/*c*/1", "f: line 1: unexpected character" },
 	{ "7000", "7000,\"data_port\":1", "f: line 1: field occurs twice" },
-	{ "\"data_port\"", "\"dataport\"", "f: $.dataport: unknown field" },
+	{ "\"data_port\"", "\"dataport\"",
+	  "f: $.dataport: unknown field, allowed instance_id, "
+	  "availability_zone, data_address, data_port, pass_port, peer_port, "
+	  "fabric_address, fabric_port, admin_address, admin_port, "
+	  "admin_token, platform_url, peers, flow_hash_seed, log_level, "
+	  "control_bytes_per_second, public_key, secret_key, accepted_keys, "
+	  "drain_deadline_seconds, max_exceptions, configuration_files" },
 	{ "\"one\"", "\"\"",
 	  "f: $.instance_id: \"\" is not valid, allowed 1 to 63 characters of "
 	  "A-Z a-z 0-9 . _ -, the first a letter or digit" },
@@ -76,6 +82,12 @@
 	{ "\"data_port\":7000", "\"configuration_files\":[\"x\",7]",
 	  "f: $.configuration_files[1]: 7 is not a string, allowed 1 to 255 "
 	  "printable bytes" },
+	{ "\"data_port\":7000", "\"accepted_keys\":7",
+	  "f: $.accepted_keys: 7 is not a list, allowed a list of 0 to 2048 "
+	  "keys" },
+	{ "\"data_port\":7000", "\"accepted_keys\":[\"\"]",
+	  "f: $.accepted_keys[0]: \"\" is not valid, allowed 40 characters of "
+	  "Z85" },
 	{ "\"data_port\":7000", "\"control_bytes_per_second\":9",
 	  "f: $.control_bytes_per_second: 9 is out of range, allowed 1024 to "
 	  "1048576 bytes/s" },
@@ -90,7 +102,8 @@
 	  "f: $.peers[0].instance_id: \"one\" is used twice, allowed a name of "
 	  "its own" },
 	{ "\"address\":\"::1\"", "\"address\":\"::1\",\"x\":1",
-	  "f: $.peers[0].x: unknown field" },
+	  "f: $.peers[0].x: unknown field, allowed instance_id, "
+	  "availability_zone, address, pass_port, peer_port, public_key" },
 	{ "[{\"instance_id\"", "[7,{\"instance_id\"",
 	  "f: $.peers[0]: is not an object" },
 	{ "\"public_key\":\"" PUBLIC "\"", "\"public_key\":\"" PEER_KEY "\"",
