Name many shards in one message

Cause: after a member left, the new owners of its shards stayed in sync for over 10 s and passed packets round in a circle (hop_limit 155 on one balancer), so that callers got no answer for 10 s. The shard messages had filled the control budget: a pull, a state and a release for each of some 40 shards and 7 sources, each repeated while the first copy still waited; 226,764 bytes of shard messages at one balancer in 20 s.

Change: SHARD_PULL, SHARD_STATE and SHARD_RELEASE carry a set of shards of 32 bytes; the state of several shards shares a message of up to 100 records.

--- a/core/transfer.c
+++ b/core/transfer.c
@@ -55,30 +55,31 @@
 	return true;
 }
 
+static void piece_send(struct core *core, struct peer *peer,
+		       struct stream_message *piece)
+{
+	stream_append(core, peer, STREAM_SHARDS, *piece);
+	*piece = (struct stream_message){ .kind = CORE_MESSAGE_SHARD_STATE };
+}
+
+/* Adds the records of one shard, and sends each piece that is full. */
 static void snapshot_send(struct core *core, struct peer *peer, uint32_t shard,
-			  GArray *records)
+			  GArray *records, struct stream_message *piece)
 {
-	guint position = 0;
-
-	do {
-		guint count = MIN(records->len - position, PIECE_RECORDS);
-		struct stream_message message = {
-			.kind = CORE_MESSAGE_SHARD_STATE,
-			.shard = (uint16_t)shard,
-			.records = g_array_new(FALSE, FALSE,
-					       sizeof(struct flow_record)),
-		};
-
-		if (count > 0)
-			g_array_append_vals(message.records,
-					    &g_array_index(records,
-							   struct flow_record,
-							   position),
-					    count);
-		position += count;
-		message.is_last = position == records->len;
-		stream_append(core, peer, STREAM_SHARDS, message);
-	} while (position < records->len);
+	for (guint i = 0; i < records->len; i++) {
+		if (!piece->records)
+			piece->records = g_array_new(
+				FALSE, FALSE, sizeof(struct flow_record));
+		g_array_append_val(
+			piece->records,
+			g_array_index(records, struct flow_record, i));
+		if (piece->records->len == PIECE_RECORDS &&
+		    i + 1 < records->len)
+			piece_send(core, peer, piece);
+	}
+	shard_set_add(&piece->shards, shard);
+	if (piece->records && piece->records->len == PIECE_RECORDS)
+		piece_send(core, peer, piece);
 }
 
 static bool is_copy_holder(const struct core *core, const struct peer *peer,
@@ -154,6 +155,7 @@
 
 void transfers_run(struct core *core, struct peer *peer)
 {
+	struct stream_message piece = { .kind = CORE_MESSAGE_SHARD_STATE };
 	struct snapshot snapshot = { .core = core };
 
 	if (!peer->has_transfers)
@@ -165,7 +167,8 @@
 		uint8_t transfer = peer->transfers[i];
 
 		if (snapshot.records[i]) {
-			snapshot_send(core, peer, i, snapshot.records[i]);
+			snapshot_send(core, peer, i, snapshot.records[i],
+				      &piece);
 			g_array_free(snapshot.records[i], TRUE);
 		}
 		if (transfer == TRANSFER_COPY)
@@ -174,6 +177,8 @@
 			 transfer == TRANSFER_RELEASE)
 			shard_stop_acting(core, peer, i);
 	}
+	if (!shard_set_is_empty(&piece.shards))
+		piece_send(core, peer, &piece);
 	transfers_release(core, peer);
 }
 
@@ -183,19 +188,18 @@
 	const struct stream *records = &peer->streams[STREAM_RECORDS];
 	const struct stream *shards = &peer->streams[STREAM_SHARDS];
 
-	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
-		struct stream_message message = {
-			.kind = CORE_MESSAGE_SHARD_RELEASE,
-			.shard = (uint16_t)i,
-		};
+	struct stream_message message = { .kind = CORE_MESSAGE_SHARD_RELEASE };
 
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 		if (peer->transfers[i] == TRANSFER_RELEASED &&
 		    shards->out_acknowledged + 1 == shards->out_next)
 			peer->transfers[i] = TRANSFER_NONE;
 		if (peer->transfers[i] != TRANSFER_DRAINING ||
 		    records->out_acknowledged < peer->thresholds[i])
 			continue;
-		stream_append(core, peer, STREAM_SHARDS, message);
+		shard_set_add(&message.shards, i);
 		peer->transfers[i] = TRANSFER_RELEASED;
 	}
+	if (!shard_set_is_empty(&message.shards))
+		stream_append(core, peer, STREAM_SHARDS, message);
 }
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "core/core.h"
+#include "core/shard_set.h"
 #include "flow/answer_cache.h"
 #include "flow/flow_table.h"
 #include "flow/recent_filter.h"
@@ -112,8 +113,7 @@
 
 struct stream_message {
 	enum core_message_kind kind;
-	uint16_t shard;
-	uint8_t is_last;
+	struct shard_set shards;
 	uint32_t sequence;
 	GArray *records; /* struct flow_record, may be NULL */
 };
@@ -149,6 +149,7 @@
 	uint8_t transfers[SHARD_COUNT]; /* enum transfer */
 	uint32_t thresholds[SHARD_COUNT]; /* record message to wait for */
 	bool has_transfers;
+	struct shard_set pulls; /* to ask for at the end of this tick */
 };
 
 #define SHARD_COPIES_MAX 6
--- a/peer/core_message_codec.c
+++ b/peer/core_message_codec.c
@@ -197,14 +197,20 @@
 static void shard_encode(const struct core_message *message,
 			 struct field_writer *writer)
 {
-	field_write_uint(writer, message->shard);
+	field_write_bytes(writer, message->shards.bits,
+			  sizeof(message->shards.bits));
 }
 
 static bool shard_decode(struct core_message *message,
 			 struct array_reader *reader)
 {
-	message->shard = (uint16_t)field_read_uint(reader, UINT16_MAX);
-	return !reader->is_bad;
+	size_t length;
+	const uint8_t *field = field_read_bytes(reader, &length);
+
+	if (!field || length != sizeof(message->shards.bits))
+		return false;
+	memcpy(message->shards.bits, field, length);
+	return true;
 }
 
 static void stream_encode(const struct core_message *message,
@@ -272,17 +278,14 @@
 {
 	stream_encode(message, writer);
 	shard_encode(message, writer);
-	field_write_uint(writer, message->is_last);
 	batch_encode(message, writer);
 }
 
 static bool shard_state_decode(struct core_message *message,
 			       struct array_reader *reader)
 {
-	stream_decode(message, reader);
-	shard_decode(message, reader);
-	message->is_last = (uint8_t)field_read_uint(reader, 1);
-	return batch_decode(message, reader);
+	return stream_decode(message, reader) &&
+	       shard_decode(message, reader) && batch_decode(message, reader);
 }
 
 static const struct core_message_codec codecs[CORE_MESSAGE_KINDS] = {
@@ -296,7 +299,7 @@
 	[CORE_MESSAGE_RECORDS] = { 3, records_message_encode,
 				   records_message_decode },
 	[CORE_MESSAGE_SHARD_PULL] = { 1, shard_encode, shard_decode },
-	[CORE_MESSAGE_SHARD_STATE] = { 5, shard_state_encode,
+	[CORE_MESSAGE_SHARD_STATE] = { 4, shard_state_encode,
 				       shard_state_decode },
 	[CORE_MESSAGE_SHARD_RELEASE] = { 3, release_encode, release_decode },
 	[CORE_MESSAGE_STREAM_ACKNOWLEDGEMENT] = { 2, stream_encode,
