Drop messages that waited through a pause

Cause: a process that is stopped for an hour finds in its sockets what peers sent all the time, up to the kernel's buffers, and in its own queues what it had decided before. Both would be taken for new after it wakes. Messages were also sent before their age was checked.

Ruled out: a time stamp in each frame, since clocks differ, two bytes wrap within two hours, and a heartbeat has no room. Binding the port anew, since ZeroMQ closes the old socket at an unknown time.

Change: the transport notices a gap of more than 1 s between its own activities, drops its queues and drops what it receives for 1 s. Queues are expired before sending. The state has a counter discarded_after_pause.

Before: by reading, 20 messages of before a pause would be delivered; no run.

Conclusion: a woken process acts on messages of after the pause only. A peer that stops reading for less than 1 s gets its messages late by that time.

--- a/include/peer/transport_state.h
+++ b/include/peer/transport_state.h
@@ -40,6 +40,7 @@
 	uint64_t impostors; /* a key that may not speak for the sender */
 	uint64_t unknown_sender;
 	uint64_t malformed;
+	uint64_t discarded; /* frames that waited through a pause */
 };
 
 struct transport {
@@ -61,6 +62,9 @@
 	guint first_peer; /* where the next round of sending begins */
 	guint flush_source; /* timer, 0 if nothing waits */
 	int64_t expire_ns;
+	guint pause_source; /* timer that notes that the process runs */
+	int64_t running_ns; /* last time at which it was known to run */
+	int64_t discard_until_ns; /* frames received before this are dropped */
 	size_t queued_bytes; /* upper bound, corrected every 250 ms */
 	uint64_t routing_nonce;
 	struct transport_counters counters;
@@ -70,6 +74,11 @@
 void transport_flush(struct transport *transport);
 bool transport_peer_connect(struct transport *transport,
 			    struct transport_peer *peer, struct error *error);
+/**
+ * After a pause of this process, drops what waits to be sent and begins to
+ * drop what is received. Called before frames are sent or handled.
+ */
+void transport_check_pause(struct transport *transport);
 /** Reads waiting frames; callback of the source of the router socket. */
 gboolean transport_receive(gpointer context);
 /** Routing id that tells the receiver who connects. */
--- a/peer/transport.c
+++ b/peer/transport.c
@@ -10,6 +10,7 @@
 
 #define SOCKETS_MAX 2048
 #define RECEIVE_FRAMES_MAX 256
+#define PAUSE_TIMER_MS 250
 #define ZAP_DOMAIN_TEXT "parsleyladder"
 
 static const struct {
@@ -128,6 +129,12 @@
 	return transport;
 }
 
+static gboolean pause_timer(gpointer context)
+{
+	transport_check_pause(context);
+	return G_SOURCE_CONTINUE;
+}
+
 struct transport *transport_create(const struct transport_options *options,
 				   struct error *error)
 {
@@ -156,6 +163,9 @@
 		goto fail;
 	transport->router_source = zmq_source_create(
 		transport->router, transport_receive, transport);
+	transport->running_ns = clock_now_ns(transport->clock);
+	transport->pause_source =
+		g_timeout_add(PAUSE_TIMER_MS, pause_timer, transport);
 	return transport;
 
 fail:
@@ -169,6 +179,8 @@
 		return;
 	if (transport->flush_source)
 		g_source_remove(transport->flush_source);
+	if (transport->pause_source)
+		g_source_remove(transport->pause_source);
 	zmq_source_destroy(transport->router_source);
 	g_hash_table_unref(transport->by_id);
 	g_ptr_array_unref(transport->peers);
@@ -270,4 +282,5 @@
 	print_int(builder, "impostors", counters->impostors);
 	print_int(builder, "unknown_sender", counters->unknown_sender);
 	print_int(builder, "malformed", counters->malformed);
+	print_int(builder, "discarded_after_pause", counters->discarded);
 }
--- a/peer/transport_receive.c
+++ b/peer/transport_receive.c
@@ -97,6 +97,10 @@
 		rest_discard(transport, payload);
 		return true;
 	}
+	if (clock_now_ns(transport->clock) < transport->discard_until_ns) {
+		transport->counters.discarded++;
+		return true;
+	}
 	peer = sender_find(transport, id, payload);
 	if (peer)
 		payload_handle(transport, peer, payload);
@@ -109,6 +113,7 @@
 	zmq_msg_t id;
 	zmq_msg_t payload;
 
+	transport_check_pause(transport);
 	zmq_msg_init(&id);
 	zmq_msg_init(&payload);
 	for (unsigned int i = 0; i < FRAMES_PER_DISPATCH; i++) {
--- a/peer/transport_send.c
+++ b/peer/transport_send.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <zmq.h>
 
+#include "peer/membership.h"
 #include "peer/transport_state.h"
 
 #define FLUSH_INTERVAL_MS 20
@@ -14,6 +15,11 @@
 /* The kernel gives a connection up when sent data stays unacknowledged. */
 #define TCP_UNACKNOWLEDGED_MS 4000
 #define SEND_FRAMES_MAX 32
+/*
+ * After a pause the sockets hold frames of any age. Reading them takes a
+ * fraction of this time, and peers repeat what they still need.
+ */
+#define DISCARD_MS 1000
 
 struct socket_option {
 	int option;
@@ -197,27 +203,31 @@
 		candidate_rotate(transport, peer, now_ns);
 }
 
-/* Returns true if messages still wait. */
-static bool queues_expire(struct transport *transport, int64_t now_ns)
+static void queues_expire(struct transport *transport, int64_t now_ns)
 {
-	bool is_due = now_ns >= transport->expire_ns;
-	bool is_waiting = false;
+	if (now_ns < transport->expire_ns)
+		return;
+	transport->expire_ns = now_ns + EXPIRE_INTERVAL_MS * NS_PER_MS;
+	transport->queued_bytes = 0;
+	for (guint i = 0; i < transport->peers->len; i++) {
+		struct transport_peer *peer =
+			g_ptr_array_index(transport->peers, i);
 
-	if (is_due) {
-		transport->expire_ns = now_ns + EXPIRE_INTERVAL_MS * NS_PER_MS;
-		transport->queued_bytes = 0;
+		peer_expire(transport, peer, now_ns);
+		transport->queued_bytes += peer_queued_bytes(peer);
 	}
+}
+
+static bool is_waiting(const struct transport *transport)
+{
 	for (guint i = 0; i < transport->peers->len; i++) {
-		struct transport_peer *peer =
+		const struct transport_peer *peer =
 			g_ptr_array_index(transport->peers, i);
 
-		if (is_due) {
-			peer_expire(transport, peer, now_ns);
-			transport->queued_bytes += peer_queued_bytes(peer);
-		}
-		is_waiting |= !send_queue_is_empty(&peer->queue);
+		if (!send_queue_is_empty(&peer->queue))
+			return true;
 	}
-	return is_waiting;
+	return false;
 }
 
 static gboolean flush_timer(gpointer context)
@@ -225,22 +235,44 @@
 	struct transport *transport = context;
 
 	transport->flush_source = 0;
+	transport_check_pause(transport);
 	transport_flush(transport);
 	return G_SOURCE_REMOVE;
 }
 
+void transport_check_pause(struct transport *transport)
+{
+	int64_t now_ns = clock_now_ns(transport->clock);
+	bool is_paused = now_ns - transport->running_ns > PAUSE_MS * NS_PER_MS;
+
+	transport->running_ns = now_ns;
+	if (!is_paused)
+		return;
+	transport->discard_until_ns = now_ns + DISCARD_MS * NS_PER_MS;
+	for (guint i = 0; i < transport->peers->len; i++) {
+		struct transport_peer *peer =
+			g_ptr_array_index(transport->peers, i);
+
+		for (unsigned int j = 0; j < MESSAGE_PRIORITIES; j++)
+			transport->counters.dropped[j] +=
+				send_queue_drop(&peer->queue, j);
+	}
+}
+
 void transport_flush(struct transport *transport)
 {
 	int64_t now_ns = clock_now_ns(transport->clock);
 	bool has_budget = true;
 	bool is_sent;
 
+	queues_expire(transport, now_ns);
+
 	for (unsigned int i = 0; i < MESSAGE_PRIORITIES && has_budget; i++) {
 		do {
 			has_budget = round_send(transport, i, now_ns, &is_sent);
 		} while (has_budget && is_sent);
 	}
-	if (queues_expire(transport, now_ns) && transport->flush_source == 0)
+	if (is_waiting(transport) && transport->flush_source == 0)
 		transport->flush_source = g_timeout_add(FLUSH_INTERVAL_MS,
 							flush_timer, transport);
 }
@@ -254,6 +286,7 @@
 
 	if ((unsigned int)priority >= MESSAGE_PRIORITIES)
 		return;
+	transport_check_pause(transport);
 	if (!peer ||
 	    (priority != MESSAGE_PRIORITY_HEARTBEAT &&
 	     transport->queued_bytes + length > TRANSPORT_QUEUED_BYTES_MAX)) {
--- a/tests/peer/test_transport.c
+++ b/tests/peer/test_transport.c
@@ -33,6 +33,8 @@
 	uint64_t last_sender;
 	size_t last_length;
 	uint8_t first_bytes[RECEIVED_MAX];
+	struct clock clock;
+	int64_t clock_ahead_s; /* a step here looks like a pause */
 };
 
 static struct node nodes[NODES];
@@ -81,6 +83,14 @@
 	}
 }
 
+static void clock_read(void *context, struct timespec *out)
+{
+	const struct node *node = context;
+
+	clock_gettime(CLOCK_BOOTTIME, out);
+	out->tv_sec += node->clock_ahead_s;
+}
+
 static void node_start(struct node *node)
 {
 	struct transport_options options = {
@@ -91,12 +101,14 @@
 		.secret_key = node->secret_key,
 		.accepted_keys = node->accepted,
 		.budget_bytes_per_s = node->budget,
-		.clock = clock_system(),
+		.clock = &node->clock,
 		.on_message = message_receive,
 		.context = node,
 	};
 	struct error error = { 0 };
 
+	node->clock.now = clock_read;
+	node->clock.context = node;
 	node->transport = transport_create(&options, &error);
 	ck_assert_msg(node->transport, "%s", error.detail);
 }
@@ -366,6 +378,33 @@
 }
 END_TEST
 
+/* What waited in the sockets of a paused process may be an hour old. */
+START_TEST(messages_from_before_a_pause_are_dropped) {
+	pair_start(UNLIMITED);
+	pair_connect();
+	/* Without room in the budget these wait in the queue of node 1. */
+	budget_spend(&nodes[1]);
+	nodes[1].transport->bucket.rate_per_s = 0;
+	node_send(&nodes[1], &nodes[0], 1, 10, MESSAGE_PRIORITY_RECORDS);
+	for (size_t i = 0; i < 20; i++)
+		node_send(&nodes[0], &nodes[1], 1, 10,
+			  MESSAGE_PRIORITY_RECORDS);
+	nodes[1].clock_ahead_s = 3600;
+	loop_run(&nodes[1], 1, 900);
+	ck_assert_uint_eq(nodes[1].received, 0);
+	ck_assert_uint_gt(nodes[1].transport->counters.discarded, 0);
+	ck_assert_uint_eq(
+		nodes[1].transport->counters.dropped[MESSAGE_PRIORITY_RECORDS],
+		1);
+	loop_run(&nodes[1], 1, 200);
+	node_send(&nodes[0], &nodes[1], 2, 10, MESSAGE_PRIORITY_RECORDS);
+	loop_run(&nodes[1], 1, 1000);
+	ck_assert_uint_eq(nodes[1].received, 1);
+	ck_assert_uint_eq(nodes[1].first_bytes[0], 2);
+	nodes_stop();
+}
+END_TEST
+
 START_TEST(restarted_peer_is_reached_again) {
 	pair_start(BUDGET);
 	pair_connect();
@@ -418,6 +457,7 @@
 	tcase_add_test(tests, record_passes_between_fragments);
 	tcase_add_test(tests, heartbeat_is_never_starved);
 	tcase_add_test(tests, dead_peer_neither_grows_nor_gets_old_messages);
+	tcase_add_test(tests, messages_from_before_a_pause_are_dropped);
 	tcase_add_test(tests, restarted_peer_is_reached_again);
 	tcase_add_test(tests, port_in_use_and_bad_keys_are_reported);
 	tcase_set_timeout(tests, 60);
