Keep text of others from adding lines to the log

Cause: names of unknown fields and parts are repeated in error messages, and a name with a line break would add a line of its own to the log.

Ruled out: cutting the names out of the messages, since they tell what to fix.

Values were escaped as JSON before.

Before: an unknown field "a\nb" put a line break into the message.

Conclusion: on_refused callers should escape the detail when they log it.

--- a/configuration/configuration.c
+++ b/configuration/configuration.c
@@ -197,6 +197,7 @@
 		       struct error *error)
 {
 	GList *names = sorted_names(configuration->parts);
+	char text[NAME_TEXT_BYTES];
 	bool is_valid = read_profiles(configuration, labels, error);
 
 	configuration->services = g_new0(struct service, g_list_length(names));
@@ -205,9 +206,9 @@
 			continue;
 		if (!configuration_part_name_is_valid(name->data))
 			is_valid = error_set(error, ERROR_CONFIGURATION,
-					     "%.64s: unknown part, allowed "
+					     "%s: unknown part, allowed "
 					     "profiles and service/NAME",
-					     (const char *)name->data);
+					     name_print(name->data, text));
 		else if (!copy_service(configuration, previous, name->data))
 			is_valid = read_service(configuration, name->data,
 						labels, error);
--- a/configuration/field_reader.c
+++ b/configuration/field_reader.c
@@ -98,6 +98,16 @@
 	return true;
 }
 
+const char *name_print(const char *name, char text[NAME_TEXT_BYTES])
+{
+	g_strlcpy(text, name, NAME_TEXT_BYTES);
+	for (char *c = text; *c; c++) {
+		if (!g_ascii_isalnum(*c) && !strchr("/._-", *c))
+			*c = '?';
+	}
+	return text;
+}
+
 static bool text_is_printable(const char *text)
 {
 	if (!g_utf8_validate(text, -1, NULL))
@@ -387,11 +397,12 @@
 			 const struct field_table *table, const char *name)
 {
 	GString *names = g_string_new(NULL);
+	char text[NAME_TEXT_BYTES];
 
 	for (size_t i = 0; i < table->field_count; i++)
 		g_string_append_printf(names, "%s%s", i > 0 ? ", " : "",
 				       table->fields[i].name);
-	g_string_append_printf(reader->path, ".%.*s", VALUE_BYTES_MAX, name);
+	g_string_append_printf(reader->path, ".%s", name_print(name, text));
 	field_reader_fail(reader, "unknown field, allowed %s", names->str);
 	g_string_free(names, TRUE);
 	return false;
--- a/include/configuration/field_reader.h
+++ b/include/configuration/field_reader.h
@@ -109,5 +109,13 @@
 
 /** True for 1 to NAME_BYTES_MAX characters that a name may have. */
 bool name_is_valid(const char *name);
+/** Bytes that name_print() writes at most, with the terminating NUL. */
+#define NAME_TEXT_BYTES 64
+/**
+ * Writes the start of @name into @text, with '?' for characters that a name
+ * cannot have, so that text of others does not add lines to a log. Returns
+ * @text.
+ */
+const char *name_print(const char *name, char text[NAME_TEXT_BYTES]);
 
 #endif
--- a/tests/configuration/test_configuration.c
+++ b/tests/configuration/test_configuration.c
@@ -57,6 +57,10 @@
 	{ "service/examen", "\"port\":443", "\"port\":443,\"proto\":\"tcp\"",
 	  EXAMEN "$.addresses[0].proto: unknown field, allowed address, port, "
 		 "protocol" },
+	/* A field name must not add a line to the log. */
+	{ "service/examen", "\"port\":443", "\"port\":443,\"a\\nb=c\":1",
+	  EXAMEN "$.addresses[0].a?b?c: unknown field, allowed address, port, "
+		 "protocol" },
 	{ "service/examen", "\"port\":443",
 	  "\"port\":443,\"protocol\":\"sctp\"",
 	  EXAMEN "$.addresses[0].protocol: \"sctp\" is not known, allowed tcp, "
