--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -185,6 +185,21 @@
 	balancer->last_packet_ns = clock_now_ns(balancer->clock);
 }
 
+/* At start, and again after each pause, which puts the member back. */
+static void activate_if_ready(struct balancer *balancer)
+{
+	struct membership *membership = peering_membership(balancer->peering);
+	const struct member_view *view = membership_view(membership);
+
+	balancer->is_active = view->members[view->self].state == MEMBER_ACTIVE;
+	if (balancer->is_leaving || balancer->is_active || view->is_rejoining ||
+	    !core_is_synchronized(balancer->core))
+		return;
+	membership_set_active(membership);
+	log_event(LOG_LEVEL_INFO, "balancer_active",
+		  "revision=%" G_GUINT64_FORMAT, core_revision(balancer->core));
+}
+
 static gboolean tick(gpointer context)
 {
 	struct balancer *balancer = context;
@@ -194,14 +209,7 @@
 	core_tick(balancer->core);
 	revision_sync_tick(balancer->revision_sync);
 	packets_note(balancer);
-	if (!balancer->is_leaving && !balancer->is_active &&
-	    core_is_synchronized(balancer->core)) {
-		balancer->is_active = true;
-		membership_set_active(membership);
-		log_event(LOG_LEVEL_INFO, "balancer_active",
-			  "revision=%" G_GUINT64_FORMAT,
-			  core_revision(balancer->core));
-	}
+	activate_if_ready(balancer);
 	if (balancer->is_leaving && shutdown_is_finished(balancer))
 		g_main_loop_quit(balancer->loop);
 	return G_SOURCE_CONTINUE;
