--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,11 @@
 demo: all
 	$(BUILD)/standins/parsleyladder-scenario scenarios/demo.scenario
 
+# All scenarios, or the one given as SCENARIO=NAME; fails if one of them fails.
+scenario: all
+	@failed=0; for file in scenarios/$(or $(SCENARIO),*).scenario; do \
+		$(BUILD)/standins/parsleyladder-scenario $$file || failed=1; \
+	done; exit $$failed
+
 clean:
 	rm -rf $(BUILD) $(SANITIZED)
--- a/include/standins/world/caller_flow.h
+++ b/include/standins/world/caller_flow.h
@@ -27,6 +27,7 @@
 
 enum flow_end {
 	FLOW_END_NORMAL,
+	FLOW_END_UNCONFIRMED, /* no answer to the FIN in time */
 	FLOW_END_REFUSED, /* by a balancer, before it was established */
 	FLOW_END_NOT_OPENED, /* no SYN-ACK in time */
 	FLOW_END_RESET,
--- a/include/standins/world/callers.h
+++ b/include/standins/world/callers.h
@@ -14,6 +14,7 @@
 	uint64_t flows_started;
 	uint64_t flows_opened; /* established */
 	uint64_t flows_ended; /* as the caller wanted */
+	uint64_t flows_end_unconfirmed; /* of these, without answer to FIN */
 	uint64_t flows_refused;
 	uint64_t flows_not_opened;
 	uint64_t flows_broken; /* reset or unanswered after being open */
--- a/standins/link/relay.c
+++ b/standins/link/relay.c
@@ -1,6 +1,8 @@
 #include "standins/link/link.h"
 
 #define CHUNK_BYTES 16384
+/* A lost segment arrives after TCP's least retransmission timeout. */
+#define RETRANSMIT_NS (200 * NS_PER_MS)
 /* How soon a relay notices that a cut was healed. */
 #define CUT_POLL_NS (20 * NS_PER_MS)
 
@@ -91,7 +93,7 @@
 {
 	struct direction *direction = data;
 	const struct pair *pair = direction->relay->pair;
-	int64_t delay_ns = 0;
+	int64_t delay_ns;
 
 	direction->length = g_input_stream_read_finish(G_INPUT_STREAM(source),
 						       result, NULL);
@@ -99,9 +101,9 @@
 		direction_end(direction);
 		return;
 	}
-	/* Loss is not applied: TCP below would hide it. */
-	network_plan(pair->link->network, pair->from_zone, pair->to_zone,
-		     &delay_ns);
+	if (!network_plan(pair->link->network, pair->from_zone, pair->to_zone,
+			  &delay_ns))
+		delay_ns = RETRANSMIT_NS;
 	direction_schedule(direction, delay_ns);
 }
 
--- a/standins/world/caller_flow.c
+++ b/standins/world/caller_flow.c
@@ -158,7 +158,7 @@
 		flow->asked_ns = now_ns;
 	if (now_ns - flow->asked_ns > FLOW_PATIENCE_NS) {
 		flow_finish(flow, is_connecting ? FLOW_END_NOT_OPENED
-						: FLOW_END_NORMAL);
+						: FLOW_END_UNCONFIRMED);
 		return;
 	}
 	if (now_ns < flow->retry_ns)
--- a/standins/world/callers.c
+++ b/standins/world/callers.c
@@ -215,6 +215,10 @@
 	case FLOW_END_NORMAL:
 		callers->counters.flows_ended++;
 		break;
+	case FLOW_END_UNCONFIRMED:
+		callers->counters.flows_ended++;
+		callers->counters.flows_end_unconfirmed++;
+		break;
 	case FLOW_END_REFUSED:
 		callers->counters.flows_refused++;
 		ledger_refuse_flow(callers->options.ledger, flow->id);
@@ -242,7 +246,8 @@
 		.count = 1,
 		.shape = flow->shape,
 	};
-	bool reopens = flow->reopens && flow->end == FLOW_END_NORMAL;
+	bool reopens = flow->reopens && (flow->end == FLOW_END_NORMAL ||
+					 flow->end == FLOW_END_UNCONFIRMED);
 
 	end_count(callers, flow);
 	g_hash_table_remove(callers->by_id, &flow->id);
--- a/standins/world/world_report.c
+++ b/standins/world/world_report.c
@@ -13,6 +13,7 @@
 		{ "flows_started", counters->flows_started },
 		{ "flows_opened", counters->flows_opened },
 		{ "flows_ended", counters->flows_ended },
+		{ "flows_end_unconfirmed", counters->flows_end_unconfirmed },
 		{ "flows_refused", counters->flows_refused },
 		{ "flows_not_opened", counters->flows_not_opened },
 		{ "flows_broken", counters->flows_broken },
