--- a/core/choose.c
+++ b/core/choose.c
@@ -64,16 +64,52 @@
 	return best;
 }
 
+static int64_t host_deficit(const struct core *core,
+			    const struct service_state *service,
+			    const struct host_entry *state,
+			    const struct load_sum *sum)
+{
+	int64_t weight = host_weight(core, service, state);
+
+	if (weight == 0 || sum->weight == 0)
+		return 0;
+	return MAX(sum->flows * weight / sum->weight - host_load(state), 0);
+}
+
+/*
+ * Draws among the hosts below their share, by how far they are below. All
+ * owners decide on the same figures, which are up to a second old; the least
+ * loaded host alone would get all flows of that second.
+ */
+static struct host_entry *deficit_draw(const struct core *core,
+				       const struct service_state *service,
+				       uint64_t flow_hash)
+{
+	struct load_sum sum = loads_sum(core, service);
+	int64_t total = 0;
+	int64_t drawn;
+
+	for (size_t i = 0; i < service->host_count; i++)
+		total += host_deficit(core, service, service->hosts[i], &sum);
+	if (total <= 0)
+		return least_loaded(core, service);
+	drawn = (int64_t)((flow_hash >> 24) % (uint64_t)total);
+	for (size_t i = 0; i < service->host_count; i++) {
+		drawn -= host_deficit(core, service, service->hosts[i], &sum);
+		if (drawn < 0)
+			return service->hosts[i];
+	}
+	return least_loaded(core, service);
+}
+
 struct host_entry *host_choose(const struct core *core,
 			       const struct service_state *service,
-			       const struct bucket *bucket)
+			       const struct bucket *bucket, uint64_t flow_hash)
 {
 	struct host_entry *target = bucket->target;
 
-	if (service->service->profile->spread == SPREAD_EVEN_LOAD)
-		return host_accepts(target) &&
-				       is_below_margin(core, service, target)
-			       ? target
-			       : least_loaded(core, service);
+	if (service->service->profile->spread == SPREAD_EVEN_LOAD &&
+	    !(host_accepts(target) && is_below_margin(core, service, target)))
+		return deficit_draw(core, service, flow_hash);
 	return host_accepts(target) ? target : least_loaded(core, service);
 }
--- a/core/coordinator.c
+++ b/core/coordinator.c
@@ -91,6 +91,18 @@
 	}
 }
 
+/* Baseline: the plain table, whatever flows exist. */
+static void draft_make_plain(const struct service_state *service,
+			     struct draft *draft)
+{
+	maglev_build(draft->hosts, service->host_count, draft->base,
+		     draft->count);
+	for (uint32_t i = 0; i < draft->count; i++) {
+		draft->base_id[i] = draft->hosts[draft->base[i]].id;
+		draft->target_id[i] = draft->base_id[i];
+	}
+}
+
 static void draft_make(struct core *core, const struct service_state *service,
 		       struct draft *draft, bool is_closing)
 {
@@ -103,6 +115,10 @@
 	draft->target_id = g_new(uint32_t, count);
 	draft->open = g_new0(uint8_t, count);
 	draft_hosts(core, service, draft);
+	if (core->options.placement_mode == CORE_PLACEMENT_TABLE_ONLY) {
+		draft_make_plain(service, draft);
+		return;
+	}
 	for (uint32_t i = 0; i < count; i++) {
 		const struct bucket *old = NULL;
 
--- a/core/decide.c
+++ b/core/decide.c
@@ -53,6 +53,11 @@
 	}
 }
 
+static bool is_owner_only(const struct core *core)
+{
+	return core->options.placement_mode == CORE_PLACEMENT_OWNER_ONLY;
+}
+
 static bool is_suspended(const struct core *core)
 {
 	return core_has_rule(core, CORE_RULE_REJOIN) &&
@@ -141,10 +146,10 @@
 			      CORE_REASON_PASS_TO_OWNER);
 		return;
 	}
-	replica = decision->kind == PACKET_DATA && decision->hops == 0 &&
-				  core->view
-			  ? local_replica(core, shard)
-			  : 0;
+	replica = 0;
+	if (decision->kind == PACKET_DATA && decision->hops == 0 &&
+	    core->view && !is_owner_only(core))
+		replica = local_replica(core, shard);
 	if (replica != 0)
 		decision_pass(core, decision, replica,
 			      CORE_REASON_PASS_TO_REPLICA);
@@ -178,7 +183,8 @@
 			return;
 		}
 	}
-	if (is_current && decision->kind == PACKET_DATA &&
+	if (is_current && !is_owner_only(core) &&
+	    decision->kind == PACKET_DATA &&
 	    (copy_decide(core, decision) || answer_decide(core, decision)))
 		return;
 	owner_pass(core, decision);
@@ -219,7 +225,7 @@
 					     service->bucket_count];
 	if (core->options.placement_mode == CORE_PLACEMENT_TABLE_ONLY)
 		table_decide(core, decision);
-	else if (decision->hops == 0 &&
+	else if (!is_owner_only(core) && decision->hops == 0 &&
 		 !(decision->bucket->flags & BUCKET_OPEN) &&
 		 !is_base_closed_to(core, decision) &&
 		 !is_everything_open(core, service))
--- a/core/owner.c
+++ b/core/owner.c
@@ -187,11 +187,21 @@
 
 	if (!decision->is_dry)
 		core->counters.new_flows_open++;
+	if (core->options.placement_mode == CORE_PLACEMENT_OWNER_ONLY) {
+		chosen = host_choose(core, decision->service, bucket,
+				     decision->hash);
+		if (chosen)
+			place_on(core, decision, chosen);
+		else
+			decision_end(decision, CORE_REFUSE,
+				     CORE_REASON_NO_HOST);
+		return;
+	}
 	if (is_in_grace(core, decision)) {
 		place_on_base(core, decision);
 		return;
 	}
-	chosen = host_choose(core, decision->service, bucket);
+	chosen = host_choose(core, decision->service, bucket, decision->hash);
 	if (!chosen && (!bucket->base->host || is_cut_off(core, bucket->base)))
 		decision_end(decision, CORE_REFUSE, CORE_REASON_NO_HOST);
 	else if (!exceptions_are_allowed(core, bucket))
@@ -210,7 +220,8 @@
 
 	if (decision->is_udp && !host_accepts(bucket->base) &&
 	    exceptions_are_allowed(core, bucket)) {
-		chosen = host_choose(core, decision->service, bucket);
+		chosen = host_choose(core, decision->service, bucket,
+				     decision->hash);
 		if (chosen && chosen != bucket->base) {
 			place_on(core, decision, chosen);
 			return;
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -388,7 +388,7 @@
 /** Host for a new flow that need not go to base; NULL if none accepts. */
 struct host_entry *host_choose(const struct core *core,
 			       const struct service_state *service,
-			       const struct bucket *bucket);
+			       const struct bucket *bucket, uint64_t flow_hash);
 
 /* print.c */
 void core_print_services(const struct core *core, JsonBuilder *builder);
