Keep copies complete and bases equal across a partition

Cause: explorer runs with all events moved flows that had opened during a partition: records that the other side handed over were not sent on to the owner's copies, and each side chose its own base for a removed host.

Ruled out: waiting for record acknowledgements before a release (it kept the shard without a decider for that long); unacknowledged records go ahead of the release in the same stream instead.

Change: an acting owner replicates state that it merges. In a view that lacks members the new base depends on published hosts only. Repeated stream messages back off and only the oldest four are repeated.

Conclusion: a removal that is seen just before the partition still differs.

--- a/core/coordinator.c
+++ b/core/coordinator.c
@@ -103,6 +103,32 @@
 	}
 }
 
+/*
+ * Base for a view that lacks members: it depends on the published hosts only,
+ * so that both sides of a partition choose the same one.
+ */
+static uint32_t partial_base(const struct service_state *service,
+			     uint32_t bucket)
+{
+	uint32_t best = 0;
+	uint64_t best_score = 0;
+
+	for (uint32_t i = 0; i < service->host_count; i++) {
+		const struct host_entry *state = service->hosts[i];
+		uint64_t score = rendezvous_score(state->id, bucket);
+
+		/* Serving hosts come before draining ones. */
+		score = score / 2 + (state->host->state == HOST_SERVING
+					     ? UINT64_C(1) << 63
+					     : 0);
+		if (score > best_score) {
+			best = i;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
 static void draft_make(struct core *core, const struct service_state *service,
 		       struct draft *draft, bool is_closing)
 {
@@ -134,7 +160,9 @@
 	for (uint32_t i = 0; i < count; i++) {
 		/* Only an unpublished base changes; its flows have ended. */
 		if (draft->base[i] == MAGLEV_NO_HOST)
-			draft->base[i] = draft->target[i];
+			draft->base[i] = core->view->is_partial
+						 ? partial_base(service, i)
+						 : draft->target[i];
 		draft->base_id[i] = draft->hosts[draft->base[i]].id;
 		draft->target_id[i] = draft->hosts[draft->target[i]].id;
 	}
--- a/core/core.c
+++ b/core/core.c
@@ -194,7 +194,6 @@
 			answers_send(core, peer);
 		}
 		transfers_run(core, peer);
-		transfers_release(core, peer);
 		stream_tick(core, peer);
 	}
 }
--- a/core/records.c
+++ b/core/records.c
@@ -84,6 +84,9 @@
 	entry->flags = record->flags & FLOW_RECORD_UDP ? FLOW_ENTRY_UDP : 0;
 	if (record->flags & FLOW_RECORD_PIN)
 		entry->flags = FLOW_ENTRY_PIN;
+	else if (core->shards[flow_hash_shard(record->flow_hash)].is_acting)
+		/* After a partition the copies lack what the other side sent. */
+		record_replicate(core, entry, 0);
 }
 
 static bool confirmed_visit(void *context, struct flow_entry *entry)
--- a/core/stream.c
+++ b/core/stream.c
@@ -1,6 +1,8 @@
 #include "core/core_state.h"
 
 #define BATCH_RECORDS_MAX 200
+#define REPEATS_MAX 4
+#define STREAM_RESEND_MAX_NS (5 * NS_PER_S)
 
 static void message_free(gpointer data)
 {
@@ -32,6 +34,7 @@
 	stream->out_sent = 0;
 	stream->out_acknowledged = 0;
 	stream->resend_at_ns = 0;
+	stream->resend_interval_ns = STREAM_RESEND_NS;
 	stream->out_id =
 		MAX((uint64_t)core->now_ns, old_id / 2 + 1) * 2 + channel;
 }
@@ -122,7 +125,8 @@
 			return;
 		/* Later messages must not put off repeating a lost one. */
 		if (stream->out_sent == stream->out_acknowledged)
-			stream->resend_at_ns = core->now_ns + STREAM_RESEND_NS;
+			stream->resend_at_ns =
+				core->now_ns + stream->resend_interval_ns;
 		message_send(core, peer, stream, message);
 		stream->out_sent = message->sequence;
 	}
@@ -157,6 +161,28 @@
 	}
 }
 
+/*
+ * The receiver keeps what comes out of order, so only the oldest messages are
+ * repeated, less and less often while the budget may be short.
+ */
+static void stream_repeat(struct core *core, const struct peer *peer,
+			  struct stream *stream)
+{
+	int count = 0;
+
+	for (GList *link = stream->out.head; link && count < REPEATS_MAX;
+	     link = link->next, count++) {
+		const struct stream_message *message = link->data;
+
+		if (message->sequence > stream->out_sent)
+			break;
+		message_send(core, peer, stream, message);
+	}
+	stream->resend_interval_ns =
+		MIN(2 * stream->resend_interval_ns, STREAM_RESEND_MAX_NS);
+	stream->resend_at_ns = core->now_ns + stream->resend_interval_ns;
+}
+
 void stream_tick(struct core *core, struct peer *peer)
 {
 	for (int i = 0; i < STREAM_CHANNELS; i++) {
@@ -165,8 +191,7 @@
 		if (stream->out.length == 0 ||
 		    core->now_ns < stream->resend_at_ns)
 			continue;
-		stream->out_sent = stream->out_acknowledged;
-		stream_send_new(core, peer, stream);
+		stream_repeat(core, peer, stream);
 	}
 }
 
@@ -185,9 +210,9 @@
 	while ((head = g_queue_peek_head(&stream->out)) &&
 	       head->sequence <= message->sequence)
 		message_free(g_queue_pop_head(&stream->out));
+	stream->resend_interval_ns = STREAM_RESEND_NS;
 	stream->resend_at_ns = core->now_ns + STREAM_RESEND_NS;
 	stream_send_new(core, peer, stream);
-	transfers_release(core, peer);
 }
 
 static struct stream_message *message_take(const struct core_message *from)
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -16,8 +16,7 @@
 	enum transfer now = peer->transfers[shard];
 
 	/* A transfer under way is completed before it is repeated. */
-	if (now == TRANSFER_COPY_AND_RELEASE || now == TRANSFER_DRAINING ||
-	    now == TRANSFER_RELEASED)
+	if (now == TRANSFER_COPY_AND_RELEASE || now == TRANSFER_RELEASED)
 		return;
 	if (now == TRANSFER_COPY && transfer != TRANSFER_COPY)
 		transfer = TRANSFER_COPY_AND_RELEASE;
@@ -94,16 +93,48 @@
 }
 
 /* No record is created here from now on. */
-static void shard_stop_acting(struct core *core, struct peer *peer,
-			      uint32_t index)
+static void shard_release(struct core *core, struct peer *peer, uint32_t index)
 {
 	struct shard *shard = &core->shards[index];
+	const struct stream_message message = {
+		.kind = CORE_MESSAGE_SHARD_RELEASE,
+		.shard = (uint16_t)index,
+	};
 
 	shard->is_acting = false;
 	shard->is_orphan = false;
 	shard->copy_count = 0;
-	peer->thresholds[index] = peer->streams[STREAM_RECORDS].out_next - 1;
-	peer->transfers[index] = TRANSFER_DRAINING;
+	stream_append(core, peer, STREAM_SHARDS, message);
+	peer->transfers[index] = TRANSFER_RELEASED;
+}
+
+static void unacknowledged_add(struct snapshot *snapshot, const GArray *records)
+{
+	for (guint i = 0; records && i < records->len; i++) {
+		struct flow_record record =
+			g_array_index(records, struct flow_record, i);
+		uint32_t shard = flow_hash_shard(record.flow_hash);
+
+		if (snapshot->has_pins[shard] &&
+		    !snapshot->has_records[shard] &&
+		    !(record.flags & FLOW_RECORD_ENDED))
+			g_array_append_val(snapshot->records[shard], record);
+	}
+}
+
+/*
+ * Records that a new owner may not have yet go ahead of the release in the
+ * same stream, so that it need not wait for the other one.
+ */
+static void unacknowledged_collect(struct snapshot *snapshot,
+				   const struct peer *peer)
+{
+	const GQueue *queue = &peer->streams[STREAM_RECORDS].out;
+
+	for (const GList *link = queue->head; link; link = link->next)
+		unacknowledged_add(
+			snapshot,
+			((const struct stream_message *)link->data)->records);
 }
 
 /* What a pull needs by now; the view may have changed since it came. */
@@ -148,14 +179,30 @@
 			g_array_new(FALSE, FALSE, sizeof(struct flow_record));
 		has_copies = true;
 	}
-	if (has_copies)
-		flow_table_visit(core->flows, snapshot_visit, snapshot);
+	if (!has_copies)
+		return;
+	flow_table_visit(core->flows, snapshot_visit, snapshot);
+	unacknowledged_collect(snapshot, peer);
+}
+
+/* A release that was received may be asked for again. */
+static void transfers_forget(struct peer *peer)
+{
+	const struct stream *stream = &peer->streams[STREAM_SHARDS];
+
+	if (stream->out_acknowledged + 1 != stream->out_next)
+		return;
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		if (peer->transfers[i] == TRANSFER_RELEASED)
+			peer->transfers[i] = TRANSFER_NONE;
+	}
 }
 
 void transfers_run(struct core *core, struct peer *peer)
 {
 	struct snapshot snapshot = { .core = core };
 
+	transfers_forget(peer);
 	if (!peer->has_transfers)
 		return;
 	peer->has_transfers = false;
@@ -172,30 +219,6 @@
 			peer->transfers[i] = TRANSFER_NONE;
 		else if (transfer == TRANSFER_COPY_AND_RELEASE ||
 			 transfer == TRANSFER_RELEASE)
-			shard_stop_acting(core, peer, i);
-	}
-	transfers_release(core, peer);
-}
-
-/* A release follows once the peer has every record sent before it. */
-void transfers_release(struct core *core, struct peer *peer)
-{
-	const struct stream *records = &peer->streams[STREAM_RECORDS];
-	const struct stream *shards = &peer->streams[STREAM_SHARDS];
-
-	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
-		struct stream_message message = {
-			.kind = CORE_MESSAGE_SHARD_RELEASE,
-			.shard = (uint16_t)i,
-		};
-
-		if (peer->transfers[i] == TRANSFER_RELEASED &&
-		    shards->out_acknowledged + 1 == shards->out_next)
-			peer->transfers[i] = TRANSFER_NONE;
-		if (peer->transfers[i] != TRANSFER_DRAINING ||
-		    records->out_acknowledged < peer->thresholds[i])
-			continue;
-		stream_append(core, peer, STREAM_SHARDS, message);
-		peer->transfers[i] = TRANSFER_RELEASED;
+			shard_release(core, peer, i);
 	}
 }
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -124,6 +124,7 @@
 	uint32_t out_sent; /* highest number sent */
 	uint32_t out_acknowledged;
 	int64_t resend_at_ns;
+	int64_t resend_interval_ns;
 	GQueue out; /* struct stream_message, not acknowledged yet */
 	uint64_t in_id;
 	uint32_t in_sequence;
@@ -136,7 +137,6 @@
 	TRANSFER_COPY,
 	TRANSFER_COPY_AND_RELEASE,
 	TRANSFER_RELEASE,
-	TRANSFER_DRAINING, /* release waits for records to be acknowledged */
 	TRANSFER_RELEASED,
 };
 
@@ -147,7 +147,6 @@
 	GArray *batch; /* struct flow_record to replicate */
 	GArray *answers;
 	uint8_t transfers[SHARD_COUNT]; /* enum transfer */
-	uint32_t thresholds[SHARD_COUNT]; /* record message to wait for */
 	bool has_transfers;
 };
 
@@ -327,7 +326,6 @@
 /* transfer.c */
 void transfer_want(struct peer *peer, uint32_t shard, enum transfer transfer);
 void transfers_run(struct core *core, struct peer *peer);
-void transfers_release(struct core *core, struct peer *peer);
 
 /* stream.c */
 struct peer *peer_get(struct core *core, uint64_t member_id);
