--- a/core/map_messages.c
+++ b/core/map_messages.c
@@ -116,7 +116,7 @@
 		map_send(core, service, sender_id);
 		return;
 	}
-	if (sender_is_active(core, sender_id))
+	if (core->is_self_active && sender_is_active(core, sender_id))
 		service->is_confirmed = true;
 	if (message->is_committed)
 		proposal_commit(core, service);
@@ -139,7 +139,7 @@
 }
 
 static void digest_handle(struct core *core, uint64_t sender_id,
-			  const struct map_digest *digest)
+			  const struct map_digest *digest, uint32_t nonce)
 {
 	struct service_state *service =
 		service_state_find(core, digest->service_id);
@@ -156,7 +156,8 @@
 		map_send(core, service, sender_id);
 		return;
 	}
-	if (sender_is_active(core, sender_id))
+	if ((core->is_self_active || nonce == core->confirm_nonce) &&
+	    sender_is_active(core, sender_id))
 		service->is_confirmed = true;
 	if (digest->is_committed)
 		proposal_commit(core, service);
@@ -169,7 +170,14 @@
 
 	if (message->kind == CORE_MESSAGE_MAP_DIGEST) {
 		for (size_t i = 0; i < message->digest_count; i++)
-			digest_handle(core, sender_id, &message->digests[i]);
+			digest_handle(core, sender_id, &message->digests[i],
+				      message->nonce);
+		return;
+	}
+	if (message->kind == CORE_MESSAGE_MAP_REQUEST &&
+	    message->service_id == 0) {
+		if (core->is_self_active)
+			map_send_digest(core, sender_id, true, message->nonce);
 		return;
 	}
 	service = service_state_find(core, message->service_id);
@@ -194,10 +202,12 @@
 	}
 }
 
-static void digest_flush(struct core *core, uint64_t member_id, GArray *digests)
+static void digest_flush(struct core *core, uint64_t member_id, GArray *digests,
+			 uint32_t nonce)
 {
 	struct core_message message = {
 		.kind = CORE_MESSAGE_MAP_DIGEST,
+		.nonce = nonce,
 		.digests = (const struct map_digest *)digests->data,
 		.digest_count = digests->len,
 	};
@@ -209,7 +219,7 @@
 }
 
 void map_send_digest(struct core *core, uint64_t member_id,
-		     bool is_coordinated_only)
+		     bool is_coordinated_only, uint32_t nonce)
 {
 	GArray *digests = g_array_new(FALSE, FALSE, sizeof(struct map_digest));
 	GHashTableIter iterator;
@@ -227,9 +237,9 @@
 			continue;
 		g_array_append_val(digests, digest);
 		if (digests->len == DIGEST_SERVICES_MAX)
-			digest_flush(core, member_id, digests);
+			digest_flush(core, member_id, digests, nonce);
 	}
-	digest_flush(core, member_id, digests);
+	digest_flush(core, member_id, digests, nonce);
 	g_array_free(digests, TRUE);
 }
 
@@ -240,6 +250,26 @@
 		map_commit(core, service, false);
 }
 
+/* A member that is not active yet asks whether its maps are current. */
+static void confirmations_request(struct core *core)
+{
+	struct core_message message = {
+		.kind = CORE_MESSAGE_MAP_REQUEST,
+		.nonce = core->confirm_nonce,
+	};
+
+	if (core->is_self_active || core->now_ns < core->confirm_at_ns)
+		return;
+	core->confirm_at_ns = core->now_ns + MAP_RESEND_NS;
+	for (size_t i = 0; i < core->view->member_count; i++) {
+		const struct member *member = &core->view->members[i];
+
+		if (i != core->view->self && member->state == MEMBER_ACTIVE)
+			core->options.send(core->options.context, member->id,
+					   &message, MESSAGE_PRIORITY_MAP);
+	}
+}
+
 void map_tick(struct core *core)
 {
 	bool is_digest_due = core->now_ns >= core->digest_at_ns;
@@ -248,6 +278,7 @@
 
 	if (!core->view || !core->configuration)
 		return;
+	confirmations_request(core);
 	g_hash_table_iter_init(&iterator, core->services);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		struct service_state *service = value;
@@ -262,6 +293,7 @@
 	core->digest_at_ns = core->now_ns + DIGEST_INTERVAL_NS;
 	for (size_t i = 0; i < core->view->member_count; i++) {
 		if (i != core->view->self)
-			map_send_digest(core, core->view->members[i].id, true);
+			map_send_digest(core, core->view->members[i].id, true,
+					0);
 	}
 }
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -124,6 +124,7 @@
 	uint32_t out_sent; /* highest number sent */
 	uint32_t out_acknowledged;
 	int64_t resend_at_ns;
+	int64_t resend_interval_ns;
 	GQueue out; /* struct stream_message, not acknowledged yet */
 	uint64_t in_id;
 	uint32_t in_sequence;
@@ -136,7 +137,6 @@
 	TRANSFER_COPY,
 	TRANSFER_COPY_AND_RELEASE,
 	TRANSFER_RELEASE,
-	TRANSFER_DRAINING, /* release waits for records to be acknowledged */
 	TRANSFER_RELEASED,
 };
 
@@ -147,7 +147,6 @@
 	GArray *batch; /* struct flow_record to replicate */
 	GArray *answers;
 	uint8_t transfers[SHARD_COUNT]; /* enum transfer */
-	uint32_t thresholds[SHARD_COUNT]; /* record message to wait for */
 	bool has_transfers;
 	struct shard_set pulls; /* to ask for at the end of this tick */
 };
@@ -226,6 +225,8 @@
 	int64_t suspect_until_ns; /* a pause was noticed, the view may follow */
 	int64_t flush_at_ns;
 	int64_t load_at_ns;
+	uint32_t confirm_nonce; /* of this start or rejoin, never 0 */
+	int64_t confirm_at_ns; /* when to ask again */
 	int64_t digest_at_ns;
 	size_t sweep_cursor;
 	uint32_t load_cursor;
@@ -299,7 +300,7 @@
 void map_handle(struct core *core, uint64_t sender_id,
 		const struct core_message *message);
 void map_send_digest(struct core *core, uint64_t member_id,
-		     bool is_coordinated_only);
+		     bool is_coordinated_only, uint32_t nonce);
 void map_tick(struct core *core);
 uint8_t *map_vetoes(struct core *core, struct service_state *service);
 
@@ -328,7 +329,6 @@
 /* transfer.c */
 void transfer_want(struct peer *peer, uint32_t shard, enum transfer transfer);
 void transfers_run(struct core *core, struct peer *peer);
-void transfers_release(struct core *core, struct peer *peer);
 
 /* stream.c */
 struct peer *peer_get(struct core *core, uint64_t member_id);
@@ -389,7 +389,7 @@
 /** Host for a new flow that need not go to base; NULL if none accepts. */
 struct host_entry *host_choose(const struct core *core,
 			       const struct service_state *service,
-			       const struct bucket *bucket);
+			       const struct bucket *bucket, uint64_t flow_hash);
 
 /* print.c */
 void core_print_services(const struct core *core, JsonBuilder *builder);
