Take the old target as base of a removed host

Cause: a removal seen just before a partition gave different bases on its two sides, because only one side had a view that lacked members yet.

Ruled out: a rendezvous base in every view; planned removals would then open buckets whose target is another host.

Change: the base of a bucket whose host is no longer published becomes the target of the map in force, which both sides hold, if that host serves.

--- a/core/coordinator.c
+++ b/core/coordinator.c
@@ -129,6 +129,23 @@
 	return best;
 }
 
+/* Base of a bucket whose base host is not published any more. */
+static uint32_t base_replace(const struct core *core,
+			     const struct service_state *service,
+			     const struct draft *draft, uint32_t bucket)
+{
+	/* Both sides of a partition that may have begun know the old target. */
+	if (service->buckets) {
+		const struct host_entry *old =
+			service->buckets[bucket % service->bucket_count].target;
+
+		if (old->host && old->host->state == HOST_SERVING)
+			return host_index(service, old);
+	}
+	return core->view->is_partial ? partial_base(service, bucket)
+				      : draft->target[bucket];
+}
+
 static void draft_make(struct core *core, const struct service_state *service,
 		       struct draft *draft, bool is_closing)
 {
@@ -160,9 +177,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		/* Only an unpublished base changes; its flows have ended. */
 		if (draft->base[i] == MAGLEV_NO_HOST)
-			draft->base[i] = core->view->is_partial
-						 ? partial_base(service, i)
-						 : draft->target[i];
+			draft->base[i] = base_replace(core, service, draft, i);
 		draft->base_id[i] = draft->hosts[draft->base[i]].id;
 		draft->target_id[i] = draft->hosts[draft->target[i]].id;
 	}
