--- a/core/coordinator.c
+++ b/core/coordinator.c
@@ -91,6 +91,61 @@
 	}
 }
 
+/* Baseline: the plain table, whatever flows exist. */
+static void draft_make_plain(const struct service_state *service,
+			     struct draft *draft)
+{
+	maglev_build(draft->hosts, service->host_count, draft->base,
+		     draft->count);
+	for (uint32_t i = 0; i < draft->count; i++) {
+		draft->base_id[i] = draft->hosts[draft->base[i]].id;
+		draft->target_id[i] = draft->base_id[i];
+	}
+}
+
+/*
+ * Base for a view that lacks members: it depends on the published hosts only,
+ * so that both sides of a partition choose the same one.
+ */
+static uint32_t partial_base(const struct service_state *service,
+			     uint32_t bucket)
+{
+	uint32_t best = 0;
+	uint64_t best_score = 0;
+
+	for (uint32_t i = 0; i < service->host_count; i++) {
+		const struct host_entry *state = service->hosts[i];
+		uint64_t score = rendezvous_score(state->id, bucket);
+
+		/* Serving hosts come before draining ones. */
+		score = score / 2 + (state->host->state == HOST_SERVING
+					     ? UINT64_C(1) << 63
+					     : 0);
+		if (score > best_score) {
+			best = i;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/* Base of a bucket whose base host is not published any more. */
+static uint32_t base_replace(const struct core *core,
+			     const struct service_state *service,
+			     const struct draft *draft, uint32_t bucket)
+{
+	/* Both sides of a partition that may have begun know the old target. */
+	if (service->buckets) {
+		const struct host_entry *old =
+			service->buckets[bucket % service->bucket_count].target;
+
+		if (old->host && old->host->state == HOST_SERVING)
+			return host_index(service, old);
+	}
+	return core->view->is_partial ? partial_base(service, bucket)
+				      : draft->target[bucket];
+}
+
 static void draft_make(struct core *core, const struct service_state *service,
 		       struct draft *draft, bool is_closing)
 {
@@ -103,6 +158,10 @@
 	draft->target_id = g_new(uint32_t, count);
 	draft->open = g_new0(uint8_t, count);
 	draft_hosts(core, service, draft);
+	if (core->options.placement_mode == CORE_PLACEMENT_TABLE_ONLY) {
+		draft_make_plain(service, draft);
+		return;
+	}
 	for (uint32_t i = 0; i < count; i++) {
 		const struct bucket *old = NULL;
 
@@ -118,7 +177,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		/* Only an unpublished base changes; its flows have ended. */
 		if (draft->base[i] == MAGLEV_NO_HOST)
-			draft->base[i] = draft->target[i];
+			draft->base[i] = base_replace(core, service, draft, i);
 		draft->base_id[i] = draft->hosts[draft->base[i]].id;
 		draft->target_id[i] = draft->hosts[draft->target[i]].id;
 	}
--- a/core/core.c
+++ b/core/core.c
@@ -49,6 +49,7 @@
 	core->options = *options;
 	core->rules = CORE_RULES_ALL;
 	core->now_ns = clock_now_ns(options->clock);
+	core->confirm_nonce = 1;
 	core->created_ns = core->now_ns;
 	core->ticked_ns = core->now_ns;
 	core->active_count = 1;
@@ -196,7 +197,6 @@
 			answers_send(core, peer);
 		}
 		transfers_run(core, peer);
-		transfers_release(core, peer);
 		stream_tick(core, peer);
 	}
 }
--- a/core/view.c
+++ b/core/view.c
@@ -92,6 +92,8 @@
 	gpointer value;
 
 	core->created_ns = core->now_ns;
+	core->confirm_nonce++;
+	core->confirm_at_ns = 0;
 	shards_rejoin(core);
 	answer_cache_clear(core->answers);
 	g_hash_table_remove_all(core->peers);
@@ -136,7 +138,7 @@
 		const struct member *member = &core->view->members[i];
 
 		if (i != core->view->self && is_new_member(old, member))
-			map_send_digest(core, member->id, true);
+			map_send_digest(core, member->id, true, 0);
 	}
 }
 
--- a/peer/core_message_codec.c
+++ b/peer/core_message_codec.c
@@ -72,6 +72,21 @@
 	return !reader->is_bad;
 }
 
+static void request_encode(const struct core_message *message,
+			   struct field_writer *writer)
+{
+	map_encode(message, writer);
+	field_write_uint(writer, message->nonce);
+}
+
+static bool request_decode(struct core_message *message,
+			   struct array_reader *reader)
+{
+	map_decode(message, reader);
+	message->nonce = (uint32_t)field_read_uint(reader, UINT32_MAX);
+	return !reader->is_bad;
+}
+
 static void proposal_encode(const struct core_message *message,
 			    struct field_writer *writer)
 {
@@ -158,6 +173,7 @@
 {
 	GByteArray *out = g_byte_array_new();
 
+	field_write_uint(writer, message->nonce);
 	for (size_t i = 0; i < message->digest_count; i++) {
 		const struct map_digest *digest = &message->digests[i];
 
@@ -176,6 +192,7 @@
 	struct wire_reader wire = { 0 };
 	struct map_digest *digest;
 
+	message->nonce = (uint32_t)field_read_uint(reader, UINT32_MAX);
 	wire.data = field_read_bytes(reader, &wire.left);
 	if (!wire.data)
 		return false;
@@ -294,8 +311,8 @@
 	[CORE_MESSAGE_MAP_ACKNOWLEDGEMENT] = { 6, acknowledgement_encode,
 					       acknowledgement_decode },
 	[CORE_MESSAGE_MAP_COMMIT] = { 4, map_encode, map_decode },
-	[CORE_MESSAGE_MAP_REQUEST] = { 4, map_encode, map_decode },
-	[CORE_MESSAGE_MAP_DIGEST] = { 1, digest_encode, digest_decode },
+	[CORE_MESSAGE_MAP_REQUEST] = { 5, request_encode, request_decode },
+	[CORE_MESSAGE_MAP_DIGEST] = { 2, digest_encode, digest_decode },
 	[CORE_MESSAGE_RECORDS] = { 3, records_message_encode,
 				   records_message_decode },
 	[CORE_MESSAGE_SHARD_PULL] = { 1, shard_encode, shard_decode },
