Name many shards in one message; learn drains late without new flows

Ruled out: counting the drain from the end of the pause; the bound is missed.

A drain learned while starting, joining or suspended is cut off at once. A packet passed on by a member outside the view is not decided as unknown.

The committed list passes, also with sanitizers.

--- a/core/core.c
+++ b/core/core.c
@@ -155,8 +155,10 @@
 					    message);
 		break;
 	case CORE_MESSAGE_SHARD_PULL:
-		shard_pull_handle(core, sender_id,
-				  message->shard % SHARD_COUNT);
+		for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+			if (shard_set_has(&message->shards, i))
+				shard_pull_handle(core, sender_id, i);
+		}
 		break;
 	case CORE_MESSAGE_ANSWERS:
 		answers_handle(core, sender_id, message);
--- a/core/decide.c
+++ b/core/decide.c
@@ -58,7 +58,7 @@
 	return core->options.placement_mode == CORE_PLACEMENT_OWNER_ONLY;
 }
 
-static bool is_suspended(const struct core *core)
+bool core_is_suspended(const struct core *core)
 {
 	return core_has_rule(core, CORE_RULE_REJOIN) &&
 	       (core->now_ns - core->ticked_ns > PAUSE_NS ||
@@ -73,7 +73,7 @@
 	return core->now_ns < core->all_open_until_ns ||
 	       (!service->is_confirmed &&
 		core_has_rule(core, CORE_RULE_REJOIN)) ||
-	       is_suspended(core);
+	       core_is_suspended(core);
 }
 
 /* A record or a cached answer; returns false if there is none to use. */
@@ -161,7 +161,13 @@
 static void open_decide(struct core *core, struct decision *decision)
 {
 	const struct shard *shard = &core->shards[decision->shard];
-	bool is_current = !is_suspended(core);
+	/*
+	 * A member that is not in view has passed the packet on: it sees a
+	 * merge that this member does not see yet.
+	 */
+	bool is_current = !core_is_suspended(core) &&
+			  (decision->hops == 0 || !core->view ||
+			   view_member(core->view, decision->sender_id));
 
 	if (!decision->is_dry && decision->kind != PACKET_DATA)
 		answer_cache_remove(core->answers, decision->hash);
--- a/core/hosts.c
+++ b/core/hosts.c
@@ -60,11 +60,13 @@
 	state = host_state_get(core, host->id, service->id);
 	state->host = host;
 	if (host->state == HOST_DRAINING) {
-		/* A member that starts cannot tell how long it has drained. */
+		/* A member that was away cannot tell how long it has drained. */
 		if (state->drain_since_ns == 0)
 			state->drain_since_ns =
-				is_first ? core->now_ns - DRAIN_CUT_OFF_NS
-					 : core->now_ns;
+				is_first || !core->is_self_active ||
+						core_is_suspended(core)
+					? core->now_ns - DRAIN_CUT_OFF_NS
+					: core->now_ns;
 		return;
 	}
 	if (!is_first && (is_new || state->drain_since_ns != 0))
--- a/core/records.c
+++ b/core/records.c
@@ -91,24 +91,38 @@
 
 static bool confirmed_visit(void *context, struct flow_entry *entry)
 {
-	const uint32_t *shard = context;
+	const struct shard_set *refreshed = context;
 
-	return flow_hash_shard(entry->hash) != *shard ||
+	return !shard_set_has(refreshed, flow_hash_shard(entry->hash)) ||
 	       !(entry->flags & FLOW_ENTRY_UNCONFIRMED);
 }
 
 static void state_apply(struct core *core, const struct stream_message *message)
 {
-	uint32_t index = message->shard % SHARD_COUNT;
-	struct shard *shard = &core->shards[index];
+	struct shard_set refreshed = { 0 };
 
-	if (!message->is_last)
-		return;
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		struct shard *shard = &core->shards[i];
+
+		if (!shard_set_has(&message->shards, i))
+			continue;
+		if (!shard->is_complete && core->view && !core->is_self_active)
+			shard_set_add(&refreshed, i);
+		shard->is_complete = true;
+		shard->is_orphan = false;
+	}
 	/* What the owner did not send has ended during the pause. */
-	if (!shard->is_complete && core->view && !core->is_self_active)
-		flow_table_visit(core->flows, confirmed_visit, &index);
-	shard->is_complete = true;
-	shard->is_orphan = false;
+	if (!shard_set_is_empty(&refreshed))
+		flow_table_visit(core->flows, confirmed_visit, &refreshed);
+}
+
+static void release_apply(struct core *core, uint64_t sender_id,
+			  const struct stream_message *message)
+{
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		if (shard_set_has(&message->shards, i))
+			shard_release_handle(core, sender_id, i);
+	}
 }
 
 void records_apply(struct core *core, uint64_t sender_id,
@@ -124,8 +138,7 @@
 	if (is_state)
 		state_apply(core, message);
 	else if (message->kind == CORE_MESSAGE_SHARD_RELEASE)
-		shard_release_handle(core, sender_id,
-				     message->shard % SHARD_COUNT);
+		release_apply(core, sender_id, message);
 }
 
 static uint32_t idle_ds(const struct core *core, const struct flow_entry *entry)
--- a/core/shards.c
+++ b/core/shards.c
@@ -315,14 +315,34 @@
 static void shard_pull(struct core *core, uint32_t index)
 {
 	struct shard *shard = &core->shards[index];
-	struct core_message message = { .kind = CORE_MESSAGE_SHARD_PULL,
-					.shard = (uint16_t)index };
 
 	shard->pull_at_ns = core->now_ns + PULL_RESEND_NS;
-	for (guint i = 0; i < shard->sources->len; i++)
-		core->options.send(core->options.context,
-				   g_array_index(shard->sources, uint64_t, i),
-				   &message, MESSAGE_PRIORITY_SHARD);
+	for (guint i = 0; i < shard->sources->len; i++) {
+		uint64_t id = g_array_index(shard->sources, uint64_t, i);
+
+		shard_set_add(&peer_get(core, id)->pulls, index);
+	}
+}
+
+static void pulls_send(struct core *core)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, core->peers);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct peer *peer = value;
+		struct core_message message = {
+			.kind = CORE_MESSAGE_SHARD_PULL,
+			.shards = peer->pulls,
+		};
+
+		if (shard_set_is_empty(&peer->pulls))
+			continue;
+		core->options.send(core->options.context, peer->id, &message,
+				   MESSAGE_PRIORITY_SHARD);
+		peer->pulls = (struct shard_set){ 0 };
+	}
 }
 
 void shards_tick(struct core *core)
@@ -344,6 +364,7 @@
 			transfer_want(peer_get(core, shard->owner_id), i,
 				      TRANSFER_RELEASE);
 	}
+	pulls_send(core);
 }
 
 static bool lease_holds(const struct core *core, uint32_t member)
--- a/core/stream.c
+++ b/core/stream.c
@@ -102,8 +102,7 @@
 {
 	struct core_message message = {
 		.kind = queued->kind,
-		.shard = queued->shard,
-		.is_last = queued->is_last,
+		.shards = queued->shards,
 		.stream = stream->out_id,
 		.sequence = queued->sequence,
 	};
@@ -244,8 +243,7 @@
 	struct stream_message *message = g_new0(struct stream_message, 1);
 
 	message->kind = from->kind;
-	message->shard = from->shard;
-	message->is_last = from->is_last;
+	message->shards = from->shards;
 	message->sequence = from->sequence;
 	message->records =
 		g_array_new(FALSE, FALSE, sizeof(struct flow_record));
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -54,30 +54,31 @@
 	return true;
 }
 
+static void piece_send(struct core *core, struct peer *peer,
+		       struct stream_message *piece)
+{
+	stream_append(core, peer, STREAM_SHARDS, *piece);
+	*piece = (struct stream_message){ .kind = CORE_MESSAGE_SHARD_STATE };
+}
+
+/* Adds the records of one shard, and sends each piece that is full. */
 static void snapshot_send(struct core *core, struct peer *peer, uint32_t shard,
-			  GArray *records)
+			  GArray *records, struct stream_message *piece)
 {
-	guint position = 0;
-
-	do {
-		guint count = MIN(records->len - position, PIECE_RECORDS);
-		struct stream_message message = {
-			.kind = CORE_MESSAGE_SHARD_STATE,
-			.shard = (uint16_t)shard,
-			.records = g_array_new(FALSE, FALSE,
-					       sizeof(struct flow_record)),
-		};
-
-		if (count > 0)
-			g_array_append_vals(message.records,
-					    &g_array_index(records,
-							   struct flow_record,
-							   position),
-					    count);
-		position += count;
-		message.is_last = position == records->len;
-		stream_append(core, peer, STREAM_SHARDS, message);
-	} while (position < records->len);
+	for (guint i = 0; i < records->len; i++) {
+		if (!piece->records)
+			piece->records = g_array_new(
+				FALSE, FALSE, sizeof(struct flow_record));
+		g_array_append_val(
+			piece->records,
+			g_array_index(records, struct flow_record, i));
+		if (piece->records->len == PIECE_RECORDS &&
+		    i + 1 < records->len)
+			piece_send(core, peer, piece);
+	}
+	shard_set_add(&piece->shards, shard);
+	if (piece->records && piece->records->len == PIECE_RECORDS)
+		piece_send(core, peer, piece);
 }
 
 static bool is_copy_holder(const struct core *core, const struct peer *peer,
@@ -93,18 +94,14 @@
 }
 
 /* No record is created here from now on. */
-static void shard_release(struct core *core, struct peer *peer, uint32_t index)
+static void shard_stop_acting(struct core *core, struct peer *peer,
+			      uint32_t index)
 {
 	struct shard *shard = &core->shards[index];
-	const struct stream_message message = {
-		.kind = CORE_MESSAGE_SHARD_RELEASE,
-		.shard = (uint16_t)index,
-	};
 
 	shard->is_acting = false;
 	shard->is_orphan = false;
 	shard->copy_count = 0;
-	stream_append(core, peer, STREAM_SHARDS, message);
 	peer->transfers[index] = TRANSFER_RELEASED;
 }
 
@@ -200,6 +197,8 @@
 
 void transfers_run(struct core *core, struct peer *peer)
 {
+	struct stream_message piece = { .kind = CORE_MESSAGE_SHARD_STATE };
+	struct stream_message release = { .kind = CORE_MESSAGE_SHARD_RELEASE };
 	struct snapshot snapshot = { .core = core };
 
 	transfers_forget(peer);
@@ -212,13 +211,21 @@
 		uint8_t transfer = peer->transfers[i];
 
 		if (snapshot.records[i]) {
-			snapshot_send(core, peer, i, snapshot.records[i]);
+			snapshot_send(core, peer, i, snapshot.records[i],
+				      &piece);
 			g_array_free(snapshot.records[i], TRUE);
 		}
-		if (transfer == TRANSFER_COPY)
+		if (transfer == TRANSFER_COPY) {
 			peer->transfers[i] = TRANSFER_NONE;
-		else if (transfer == TRANSFER_COPY_AND_RELEASE ||
-			 transfer == TRANSFER_RELEASE)
-			shard_release(core, peer, i);
+		} else if (transfer == TRANSFER_COPY_AND_RELEASE ||
+			   transfer == TRANSFER_RELEASE) {
+			shard_stop_acting(core, peer, i);
+			shard_set_add(&release.shards, i);
+		}
 	}
+	if (!shard_set_is_empty(&piece.shards))
+		piece_send(core, peer, &piece);
+	/* The stream is in order, so the release follows all records. */
+	if (!shard_set_is_empty(&release.shards))
+		stream_append(core, peer, STREAM_SHARDS, release);
 }
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "core/core.h"
+#include "core/shard_set.h"
 #include "flow/answer_cache.h"
 #include "flow/flow_table.h"
 #include "flow/recent_filter.h"
@@ -115,8 +116,7 @@
 
 struct stream_message {
 	enum core_message_kind kind;
-	uint16_t shard;
-	uint8_t is_last;
+	struct shard_set shards;
 	uint32_t sequence;
 	GArray *records; /* struct flow_record, may be NULL */
 };
@@ -152,6 +152,7 @@
 	GArray *answers;
 	uint8_t transfers[SHARD_COUNT]; /* enum transfer */
 	bool has_transfers;
+	struct shard_set pulls; /* to ask for at the end of this tick */
 };
 
 #define SHARD_COPIES_MAX 6
@@ -357,6 +358,9 @@
 void records_drop_unpublished(struct core *core);
 
 /* decide.c */
+/** Whether a pause was noticed that the view has not repaired yet. */
+bool core_is_suspended(const struct core *core);
+
 enum packet_kind {
 	PACKET_NEW, /* SYN */
 	PACKET_DATA,
--- a/include/core/message.h
+++ b/include/core/message.h
@@ -9,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "placement/rendezvous.h"
+
 enum core_message_kind {
 	CORE_MESSAGE_LOAD, /* open flows by host of the sender */
 	CORE_MESSAGE_MAP_PROPOSAL, /* coordinator to members */
@@ -18,7 +20,7 @@
 	CORE_MESSAGE_MAP_DIGEST, /* versions of maps held by the sender */
 	CORE_MESSAGE_RECORDS, /* owner to replicas */
 	CORE_MESSAGE_SHARD_PULL, /* new owner to the previous one */
-	CORE_MESSAGE_SHARD_STATE, /* records of one shard, in pieces */
+	CORE_MESSAGE_SHARD_STATE, /* records of some shards, in pieces */
 	CORE_MESSAGE_SHARD_RELEASE, /* the previous owner has stopped deciding */
 	CORE_MESSAGE_ANSWERS, /* hosts of flows that were passed on */
 	CORE_MESSAGE_STREAM_ACKNOWLEDGEMENT, /* in-order receipt of a stream */
@@ -36,6 +38,14 @@
 	MESSAGE_PRIORITIES,
 };
 
+/**
+ * Set of shards. Messages name many shards at once: one message a shard used
+ * up the control budget for 10 s whenever a member joined.
+ */
+struct shard_set {
+	uint8_t bits[SHARD_COUNT / 8];
+};
+
 /** Total order of bucket maps of one service: fields compared in this order. */
 struct map_version {
 	uint64_t revision;
@@ -69,8 +79,11 @@
 	enum core_message_kind kind;
 	uint32_t service_id; /* MAP_* */
 	struct map_version version; /* MAP_* */
-	uint16_t shard; /* SHARD_* */
-	uint8_t is_last; /* SHARD_STATE: no further piece follows */
+	/*
+	 * SHARD_PULL, SHARD_RELEASE: the shards meant. SHARD_STATE: the shards
+	 * whose last records are in this message.
+	 */
+	struct shard_set shards;
 	uint8_t is_committed; /* MAP_PROPOSAL: already committed */
 	/*
 	 * RECORDS, SHARD_STATE, SHARD_RELEASE, STREAM_ACKNOWLEDGEMENT: these
