--- a/core/transfer.c
+++ b/core/transfer.c
@@ -94,14 +94,15 @@
 }
 
 /* No record is created here from now on. */
-static void shard_stop_acting(struct core *core, struct peer *peer,
-			      uint32_t index)
+static void shard_release(struct core *core, struct peer *peer, uint32_t index,
+			  struct shard_set *released)
 {
 	struct shard *shard = &core->shards[index];
 
 	shard->is_acting = false;
 	shard->is_orphan = false;
 	shard->copy_count = 0;
+	shard_set_add(released, index);
 	peer->transfers[index] = TRANSFER_RELEASED;
 }
 
@@ -215,17 +216,14 @@
 				      &piece);
 			g_array_free(snapshot.records[i], TRUE);
 		}
-		if (transfer == TRANSFER_COPY) {
+		if (transfer == TRANSFER_COPY)
 			peer->transfers[i] = TRANSFER_NONE;
-		} else if (transfer == TRANSFER_COPY_AND_RELEASE ||
-			   transfer == TRANSFER_RELEASE) {
-			shard_stop_acting(core, peer, i);
-			shard_set_add(&release.shards, i);
-		}
+		else if (transfer == TRANSFER_COPY_AND_RELEASE ||
+			 transfer == TRANSFER_RELEASE)
+			shard_release(core, peer, i, &release.shards);
 	}
 	if (!shard_set_is_empty(&piece.shards))
 		piece_send(core, peer, &piece);
-	/* The stream is in order, so the release follows all records. */
 	if (!shard_set_is_empty(&release.shards))
 		stream_append(core, peer, STREAM_SHARDS, release);
 }
--- a/include/core/message.h
+++ b/include/core/message.h
@@ -78,7 +78,13 @@
 struct core_message {
 	enum core_message_kind kind;
 	uint32_t service_id; /* MAP_* */
-	struct map_version version; /* MAP_* */
+	struct map_version version; /* MAP_*, but for MAP_DIGEST */
+	/*
+	 * MAP_REQUEST of service 0 asks for all digests; they carry its nonce.
+	 * 0 in every other digest. A digest that was under way while the
+	 * receiver was paused cannot confirm that its maps are current.
+	 */
+	uint32_t nonce;
 	/*
 	 * SHARD_PULL, SHARD_RELEASE: the shards meant. SHARD_STATE: the shards
 	 * whose last records are in this message.
