--- a/configuration/json_text.c
+++ b/configuration/json_text.c
@@ -188,7 +188,7 @@
 JsonNode *json_text_parse(const char *source, const char *data, size_t length,
 			  enum error_kind kind, struct error *error)
 {
-	struct scan scan = { .at = data, .end = data + length, .line = 1 };
+	struct scan scan = { .line = 1 };
 	JsonParser *parser;
 	JsonNode *root;
 
@@ -196,6 +196,8 @@
 		error_set(error, kind, "%s: text is empty", source);
 		return NULL;
 	}
+	scan.at = data;
+	scan.end = data + length;
 	if (!scan_text(&scan)) {
 		error_set(error, kind, "%s: line %zu: %s", source, scan.line,
 			  scan.problem);
--- a/peer/message_codec.c
+++ b/peer/message_codec.c
@@ -149,7 +149,6 @@
 	case PEER_MESSAGE_REVISION_REQUEST:
 		return HEADER_FIELDS + 2;
 	case PEER_MESSAGE_REVISION_INDEX:
-		return HEADER_FIELDS + 3;
 	case PEER_MESSAGE_PART_REQUEST:
 		return HEADER_FIELDS + 3;
 	case PEER_MESSAGE_PART:
--- a/tests/configuration/test_configuration.c
+++ b/tests/configuration/test_configuration.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "configuration/configuration.h"
+#include "configuration/json_text.h"
 
 static const char profiles[] =
 	"{\"profiles\":[{\"name\":\"plain\",\"spread\":\"fewest_moves\"}]}";
@@ -152,6 +153,16 @@
 }
 END_TEST
 
+/* An empty GBytes has no data; the sanitizer reports arithmetic on it. */
+START_TEST(empty_part_is_refused) {
+	struct error error = { 0 };
+
+	ck_assert_ptr_null(
+		json_text_parse("part", NULL, 0, ERROR_CONFIGURATION, &error));
+	ck_assert_str_eq(error.detail, "part: text is empty");
+}
+END_TEST
+
 START_TEST(bad_part_sets_are_refused) {
 	GHashTable *parts = valid_parts();
 	char *large = g_strnfill(CONFIGURATION_PART_BYTES_MAX + 1, ' ');
@@ -365,6 +376,7 @@
 
 	tcase_add_loop_test(tests, bad_parts_are_refused, 0,
 			    G_N_ELEMENTS(bad_cases));
+	tcase_add_test(tests, empty_part_is_refused);
 	tcase_add_test(tests, bad_part_sets_are_refused);
 	tcase_add_test(tests, service_id_collision_is_refused);
 	tcase_add_loop_test(tests, services_are_found_by_address, 0,
