--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -360,6 +360,9 @@
 void records_drop_unpublished(struct core *core);
 
 /* decide.c */
+/** Whether a pause was noticed that the view has not repaired yet. */
+bool core_is_suspended(const struct core *core);
+
 enum packet_kind {
 	PACKET_NEW, /* SYN */
 	PACKET_DATA,
