Measure control cost and spread of configuration of a fleet

Cause: the targets for control bytes, CPU time, memory and config_in_force had no figure in the scenario tool.

Change: the command mark begins an interval. Figures control_bytes_per_s, control_cpu_percent, platform_calls_per_s and passed_on_share are over the last whole interval, and rss_mb is read when asked for. After the first mark each publication is timed until every running balancer reports it in /v1/state.

--- a/include/standins/scenario/process.h
+++ b/include/standins/scenario/process.h
@@ -28,6 +28,8 @@
 uint16_t process_ready_port(struct process *process, const char *name,
 			    struct error *error);
 void process_signal(struct process *process, int signal_number);
+/** 0 once it has ended. */
+int process_id(const struct process *process);
 bool process_is_running(const struct process *process);
 /** Runs the main loop until the process ended; false after @bound_s. */
 bool process_wait(struct process *process, double bound_s);
--- a/include/standins/scenario/runner.h
+++ b/include/standins/scenario/runner.h
@@ -52,6 +52,8 @@
 	const char *scratch; /* directory for settings files and logs */
 };
 
+struct fleet_figures;
+
 struct runner {
 	struct runner_options options;
 	const struct scenario_text *text;
@@ -69,6 +71,7 @@
 	char *listed; /* instance list as last told to the platform */
 	guint listing_source;
 	GHashTable *totals; /* figure name to double, of ended deployments */
+	struct fleet_figures *fleet_figures; /* NULL before the first mark */
 	uint64_t unexpected_exits; /* of balancers, in ended deployments */
 };
 
@@ -87,6 +90,9 @@
 		       struct error *error);
 bool runner_tell_link(struct runner *runner, JsonObject *request,
 		      struct error *error);
+/** The reply, to be unreferenced, or NULL. @request is taken over. */
+JsonObject *runner_ask_platform(struct runner *runner, const char *path,
+				JsonObject *request, struct error *error);
 bool runner_tell_platform(struct runner *runner, const char *path,
 			  JsonObject *request, struct error *error);
 /** New request object with "do" set to @name. */
@@ -131,6 +137,19 @@
 /** Adds @figures to the totals; the worst counts for ratios and times. */
 void figures_add_totals(struct runner *runner, GHashTable *figures);
 
+/* figures_fleet.c */
+/**
+ * Begins an interval; the one that the previous mark began ends. Publications
+ * after the first mark are measured until they are in force.
+ */
+bool fleet_figures_mark(struct runner *runner, struct error *error);
+/** The platform took @revision, sent at @start_us of monotonic time. */
+void fleet_figures_published(struct runner *runner, uint64_t revision,
+			     int64_t start_us);
+/** Adds the figures of the last whole interval and of publications. */
+void fleet_figures_add(struct runner *runner, GHashTable *figures);
+void fleet_figures_destroy(struct runner *runner);
+
 /* commands.c */
 bool command_run(struct runner *runner, const struct scenario_line *line,
 		 struct error *error);
--- a/standins/scenario/commands.c
+++ b/standins/scenario/commands.c
@@ -25,6 +25,7 @@
 	{ "kill", 3, "kill balancer N", command_kill },
 	{ "links", 2, "links on|off", command_links },
 	{ "lose", 4, "lose ZONE ZONE PERCENT", command_lose },
+	{ "mark", 1, "mark", command_mark },
 	{ "open", 4,
 	  "open FLOWS service NAME [rate R] [over SECONDS] [payload BYTES] "
 	  "[protocol tcp|udp]",
--- a/standins/scenario/commands_figures.c
+++ b/standins/scenario/commands_figures.c
@@ -96,6 +96,14 @@
 			 bound_s, expectation.seen);
 }
 
+SCENARIO_COMMAND(mark)
+{
+	(void)line;
+	if (!runner->world.process)
+		return error_set(error, ERROR_USAGE, "nothing runs to measure");
+	return fleet_figures_mark(runner, error);
+}
+
 /* Of the deployment that runs, else the total of those that have ended. */
 SCENARIO_COMMAND(figure)
 {
--- a/standins/scenario/figures.c
+++ b/standins/scenario/figures.c
@@ -128,13 +128,21 @@
 	}
 	balancers_add(runner, figures);
 	figure_add(figures, "unexpected_exits", fleet_unexpected_exits(runner));
+	fleet_figures_add(runner, figures);
 	return figures;
 }
 
 static bool figure_is_worst_case(const char *name)
 {
-	return g_str_has_prefix(name, "imbalance") ||
-	       g_str_has_suffix(name, "_s");
+	static const char *const suffixes[] = { "_s", "_max", "_percent",
+						"_share", "rss_mb" };
+
+	if (g_str_has_prefix(name, "imbalance"))
+		return true;
+	for (size_t i = 0; i < G_N_ELEMENTS(suffixes); i++)
+		if (g_str_has_suffix(name, suffixes[i]))
+			return true;
+	return false;
 }
 
 void figures_add_totals(struct runner *runner, GHashTable *figures)
--- a/standins/scenario/process.c
+++ b/standins/scenario/process.c
@@ -88,6 +88,13 @@
 	g_subprocess_send_signal(process->child, signal_number);
 }
 
+int process_id(const struct process *process)
+{
+	const char *text = g_subprocess_get_identifier(process->child);
+
+	return text ? (int)g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
 bool process_is_running(const struct process *process)
 {
 	return !process->is_ended;
--- a/standins/scenario/publish.c
+++ b/standins/scenario/publish.c
@@ -4,9 +4,19 @@
 			     struct error *error)
 {
 	JsonObject *request = json_object_new();
+	int64_t start_us = g_get_monotonic_time();
+	JsonObject *reply;
 
 	json_object_set_object_member(request, "parts", parts);
-	return runner_tell_platform(runner, "/control/publish", request, error);
+	reply = runner_ask_platform(runner, "/control/publish", request, error);
+	if (!reply)
+		return false;
+	fleet_figures_published(
+		runner,
+		(uint64_t)json_object_get_double_member(reply, "revision"),
+		start_us);
+	json_object_unref(reply);
+	return true;
 }
 
 static bool world_publish(struct runner *runner, struct error *error)
--- a/standins/scenario/runner.c
+++ b/standins/scenario/runner.c
@@ -35,6 +35,7 @@
 	if (runner->listing_source != 0)
 		g_source_remove(runner->listing_source);
 	runner->listing_source = 0;
+	fleet_figures_destroy(runner);
 	fleet_destroy(runner);
 	standin_end(&runner->world);
 	standin_end(&runner->platform);
@@ -99,8 +100,8 @@
 	return standin_tell(&runner->link, request, error);
 }
 
-bool runner_tell_platform(struct runner *runner, const char *path,
-			  JsonObject *request, struct error *error)
+JsonObject *runner_ask_platform(struct runner *runner, const char *path,
+				JsonObject *request, struct error *error)
 {
 	g_autofree char *url = g_strdup_printf(
 		"http://127.0.0.1:%u%s", runner->platform_control_port, path);
@@ -108,7 +109,18 @@
 	g_autofree char *answer = channel_http(url, NULL, body, error);
 
 	json_object_unref(request);
-	return answer != NULL;
+	return answer ? channel_parse(answer, error) : NULL;
+}
+
+bool runner_tell_platform(struct runner *runner, const char *path,
+			  JsonObject *request, struct error *error)
+{
+	JsonObject *reply = runner_ask_platform(runner, path, request, error);
+
+	if (!reply)
+		return false;
+	json_object_unref(reply);
+	return true;
 }
 
 static bool standin_start(struct runner *runner, struct standin *standin,
