Set the control budget and the start bound in scenarios

Cause: fleet-32 and fleet-64 failed in scripts/fleet-slopes because a balancer was not ready after 20 s, so nothing was measured.

Ruled out: raising the bound of every start. A start of 8 balancers that takes longer than 20 s has to go on failing.

New figure start_s.

--- a/include/standins/scenario/commands.h
+++ b/include/standins/scenario/commands.h
@@ -22,6 +22,7 @@
 			    struct error *error)
 
 SCENARIO_COMMAND(balancers);
+SCENARIO_COMMAND(budget);
 SCENARIO_COMMAND(churn);
 SCENARIO_COMMAND(close);
 SCENARIO_COMMAND(cut);
--- a/include/standins/scenario/runner.h
+++ b/include/standins/scenario/runner.h
@@ -59,6 +59,8 @@
 	const struct scenario_text *text;
 	uint64_t seed;
 	unsigned int phase; /* deployments begun, for names of files */
+	uint32_t control_bytes_per_s; /* in the settings of balancers */
+	double start_s; /* time of the last start until all were ready */
 	bool uses_links; /* peer traffic goes through the link stand-in */
 	struct deployment *deployment;
 	struct standin world;
@@ -101,9 +103,14 @@
 /* fleet.c */
 void fleet_create(struct runner *runner, unsigned int count);
 struct balancer *fleet_find(struct runner *runner, unsigned int number);
-/** Starts the balancers from @first to @last and waits until they are ready. */
+/** In seconds; above any start of a small fleet. */
+#define START_BOUND_S 20.0
+/**
+ * Starts the balancers from @first to @last and waits until they are ready,
+ * each at most @bound_s.
+ */
 bool fleet_start(struct runner *runner, unsigned int first, unsigned int last,
-		 struct error *error);
+		 double bound_s, struct error *error);
 /** SIGTERM; succeeds if the process ends with status 0 by itself. */
 bool fleet_stop(struct runner *runner, struct balancer *balancer,
 		struct error *error);
--- a/standins/scenario/commands.c
+++ b/standins/scenario/commands.c
@@ -6,6 +6,7 @@
 /* Sorted by name for bsearch(). */
 static const struct scenario_command commands[] = {
 	{ "balancers", 2, "balancers COUNT", command_balancers },
+	{ "budget", 2, "budget BYTES_PER_S", command_budget },
 	{ "churn", 4,
 	  "churn FLOWS_PER_S service NAME [requests N] [rate R] "
 	  "[protocol tcp|udp] [ends fin|reset]",
@@ -39,7 +40,8 @@
 	  command_publish },
 	{ "seed", 2, "seed NUMBER", command_seed },
 	{ "send", 4, "send REQUESTS service NAME", command_send },
-	{ "start", 2, "start balancers | balancer N", command_start },
+	{ "start", 2, "start balancers | balancer N [within SECONDS]",
+	  command_start },
 	{ "stop", 3, "stop balancer N | opening SERVICE", command_stop },
 	{ "wait", 2, "wait SECONDS", command_wait },
 	{ "wake", 3, "wake balancer N", command_wake },
--- a/standins/scenario/figures_fleet.c
+++ b/standins/scenario/figures_fleet.c
@@ -316,6 +316,7 @@
 			rss_mb = MAX(rss_mb, rss_read_mb(id));
 	}
 	figure_set(figures, "rss_mb", rss_mb);
+	figure_set(figures, "start_s", runner->start_s);
 	if (!fleet)
 		return;
 	reverts_look(runner, figures);
--- a/standins/scenario/runner.c
+++ b/standins/scenario/runner.c
@@ -6,6 +6,9 @@
 /* How often the instance list is compared with what the platform was told. */
 #define LISTING_MS 200
 
+/* Default control budget of a balancer. */
+#define CONTROL_BYTES_PER_S 4096
+
 struct runner *runner_create(const struct runner_options *options,
 			     const struct scenario_text *text)
 {
@@ -14,6 +17,7 @@
 	runner->options = *options;
 	runner->text = text;
 	runner->seed = 1;
+	runner->control_bytes_per_s = CONTROL_BYTES_PER_S;
 	runner->balancers = g_ptr_array_new();
 	runner->totals =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/standins/scenario/settings_file.c
+++ b/standins/scenario/settings_file.c
@@ -1,7 +1,6 @@
 #include "standins/scenario/runner.h"
 
 #define DRAIN_DEADLINE_S 10
-#define CONTROL_BYTES_PER_S 4096
 #define EXCEPTIONS_MAX 65536
 
 /* Where the link stand-in listens for traffic to peers. */
@@ -117,7 +116,7 @@
 				   (int64_t)runner->seed);
 	json_object_set_string_member(settings, "log_level", "info");
 	json_object_set_int_member(settings, "control_bytes_per_second",
-				   CONTROL_BYTES_PER_S);
+				   runner->control_bytes_per_s);
 	json_object_set_string_member(settings, "public_key", self->public_key);
 	json_object_set_string_member(settings, "secret_key", self->secret_key);
 	json_object_set_int_member(settings, "drain_deadline_seconds",
