--- a/include/standins/scenario/commands.h
+++ b/include/standins/scenario/commands.h
@@ -22,6 +22,7 @@
 			    struct error *error)
 
 SCENARIO_COMMAND(balancers);
+SCENARIO_COMMAND(budget);
 SCENARIO_COMMAND(churn);
 SCENARIO_COMMAND(close);
 SCENARIO_COMMAND(cut);
@@ -36,6 +37,7 @@
 SCENARIO_COMMAND(kill);
 SCENARIO_COMMAND(links);
 SCENARIO_COMMAND(lose);
+SCENARIO_COMMAND(mark);
 SCENARIO_COMMAND(open);
 SCENARIO_COMMAND(platform);
 SCENARIO_COMMAND(print);
--- a/include/standins/scenario/runner.h
+++ b/include/standins/scenario/runner.h
@@ -52,11 +52,15 @@
 	const char *scratch; /* directory for settings files and logs */
 };
 
+struct fleet_figures;
+
 struct runner {
 	struct runner_options options;
 	const struct scenario_text *text;
 	uint64_t seed;
 	unsigned int phase; /* deployments begun, for names of files */
+	uint32_t control_bytes_per_s; /* in the settings of balancers */
+	double start_s; /* time of the last start until all were ready */
 	bool uses_links; /* peer traffic goes through the link stand-in */
 	struct deployment *deployment;
 	struct standin world;
@@ -69,6 +73,7 @@
 	char *listed; /* instance list as last told to the platform */
 	guint listing_source;
 	GHashTable *totals; /* figure name to double, of ended deployments */
+	struct fleet_figures *fleet_figures; /* NULL before the first mark */
 	uint64_t unexpected_exits; /* of balancers, in ended deployments */
 };
 
@@ -87,6 +92,9 @@
 		       struct error *error);
 bool runner_tell_link(struct runner *runner, JsonObject *request,
 		      struct error *error);
+/** The reply, to be unreferenced, or NULL. @request is taken over. */
+JsonObject *runner_ask_platform(struct runner *runner, const char *path,
+				JsonObject *request, struct error *error);
 bool runner_tell_platform(struct runner *runner, const char *path,
 			  JsonObject *request, struct error *error);
 /** New request object with "do" set to @name. */
@@ -95,9 +103,14 @@
 /* fleet.c */
 void fleet_create(struct runner *runner, unsigned int count);
 struct balancer *fleet_find(struct runner *runner, unsigned int number);
-/** Starts the balancers from @first to @last and waits until they are ready. */
+/** In seconds; above any start of a small fleet. */
+#define START_BOUND_S 20.0
+/**
+ * Starts the balancers from @first to @last and waits until they are ready,
+ * each at most @bound_s.
+ */
 bool fleet_start(struct runner *runner, unsigned int first, unsigned int last,
-		 struct error *error);
+		 double bound_s, struct error *error);
 /** SIGTERM; succeeds if the process ends with status 0 by itself. */
 bool fleet_stop(struct runner *runner, struct balancer *balancer,
 		struct error *error);
@@ -131,6 +144,19 @@
 /** Adds @figures to the totals; the worst counts for ratios and times. */
 void figures_add_totals(struct runner *runner, GHashTable *figures);
 
+/* figures_fleet.c */
+/**
+ * Begins an interval; the one that the previous mark began ends. Publications
+ * after the first mark are measured until they are in force.
+ */
+bool fleet_figures_mark(struct runner *runner, struct error *error);
+/** The platform took @revision, sent at @start_us of monotonic time. */
+void fleet_figures_published(struct runner *runner, uint64_t revision,
+			     int64_t start_us);
+/** Adds the figures of the last whole interval and of publications. */
+void fleet_figures_add(struct runner *runner, GHashTable *figures);
+void fleet_figures_destroy(struct runner *runner);
+
 /* commands.c */
 bool command_run(struct runner *runner, const struct scenario_line *line,
 		 struct error *error);
--- a/standins/scenario/runner.c
+++ b/standins/scenario/runner.c
@@ -6,6 +6,9 @@
 /* How often the instance list is compared with what the platform was told. */
 #define LISTING_MS 200
 
+/* Default control budget of a balancer. */
+#define CONTROL_BYTES_PER_S 4096
+
 struct runner *runner_create(const struct runner_options *options,
 			     const struct scenario_text *text)
 {
@@ -14,6 +17,7 @@
 	runner->options = *options;
 	runner->text = text;
 	runner->seed = 1;
+	runner->control_bytes_per_s = CONTROL_BYTES_PER_S;
 	runner->balancers = g_ptr_array_new();
 	runner->totals =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -35,6 +39,7 @@
 	if (runner->listing_source != 0)
 		g_source_remove(runner->listing_source);
 	runner->listing_source = 0;
+	fleet_figures_destroy(runner);
 	fleet_destroy(runner);
 	standin_end(&runner->world);
 	standin_end(&runner->platform);
@@ -99,8 +104,8 @@
 	return standin_tell(&runner->link, request, error);
 }
 
-bool runner_tell_platform(struct runner *runner, const char *path,
-			  JsonObject *request, struct error *error)
+JsonObject *runner_ask_platform(struct runner *runner, const char *path,
+				JsonObject *request, struct error *error)
 {
 	g_autofree char *url = g_strdup_printf(
 		"http://127.0.0.1:%u%s", runner->platform_control_port, path);
@@ -108,7 +113,18 @@
 	g_autofree char *answer = channel_http(url, NULL, body, error);
 
 	json_object_unref(request);
-	return answer != NULL;
+	return answer ? channel_parse(answer, error) : NULL;
+}
+
+bool runner_tell_platform(struct runner *runner, const char *path,
+			  JsonObject *request, struct error *error)
+{
+	JsonObject *reply = runner_ask_platform(runner, path, request, error);
+
+	if (!reply)
+		return false;
+	json_object_unref(reply);
+	return true;
 }
 
 static bool standin_start(struct runner *runner, struct standin *standin,
