Send revision messages before bucket maps

config_in_force_p99_s was 11.28 s at 8 balancers (target 2): the 10-byte request for a revision waited behind 110 kB of map messages of one coordinator, until the member read the platform itself after 10 s. Ruled out: the platform (0.37 s in the median) and the heartbeats that announce the revision. Change: revisions before maps in the control budget; parts above 16 KiB go with the bulk data, so that maps do not wait for them.

--- a/include/core/message.h
+++ b/include/core/message.h
@@ -31,8 +31,9 @@
 enum message_priority {
 	MESSAGE_PRIORITY_HEARTBEAT,
 	MESSAGE_PRIORITY_RECORDS,
-	MESSAGE_PRIORITY_MAP,
+	/* Before maps, which are larger and worthless without their revision. */
 	MESSAGE_PRIORITY_REVISION,
+	MESSAGE_PRIORITY_MAP,
 	MESSAGE_PRIORITY_SHARD,
 	MESSAGE_PRIORITY_ANSWER,
 	MESSAGE_PRIORITIES,
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -9,6 +9,8 @@
 
 /* Time without a packet from the fabric after which it has stopped sending. */
 #define FABRIC_QUIET_NS (1 * NS_PER_S)
+/* A larger part would hold maps back for seconds at the control budget. */
+#define REVISION_BULK_BYTES (16 * 1024)
 
 static void core_send(void *context, uint64_t member_id,
 		      const struct core_message *message,
@@ -72,9 +74,11 @@
 				  const struct peer_message *message)
 {
 	struct balancer *balancer = context;
+	bool is_bulk = message->part_bytes > REVISION_BULK_BYTES;
 
 	peering_send(balancer->peering, member_id, message,
-		     MESSAGE_PRIORITY_REVISION);
+		     is_bulk ? MESSAGE_PRIORITY_SHARD
+			     : MESSAGE_PRIORITY_REVISION);
 }
 
 /* Takes over a reference to @configuration. */
