--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -132,6 +132,7 @@
 			     const struct error *error)
 {
 	struct balancer *balancer = context;
+	char *reason = g_strescape(error->detail, NULL);
 
 	balancer->refused_revisions++;
 	balancer->refused_revision = revision;
@@ -139,7 +140,8 @@
 		  sizeof(balancer->refused_reason));
 	log_event(LOG_LEVEL_ERROR, "revision_refused",
 		  "revision=%" G_GUINT64_FORMAT " kind=%s reason=\"%s\"",
-		  revision, error_answer(error->kind)->name, error->detail);
+		  revision, error_answer(error->kind)->name, reason);
+	g_free(reason);
 }
 
 static void instances_listed(void *context,
--- a/parsleyladder/forwarder.c
+++ b/parsleyladder/forwarder.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "common/counters.h"
 #include "edge/edge.h"
 #include "packet/packet.h"
 #include "packet/pass_header.h"
@@ -10,6 +11,21 @@
 /* Absorbs about 50 ms of packets while the loop does something else. */
 #define RECEIVE_BUFFER_BYTES (4 * 1024 * 1024)
 
+enum forwarder_fault {
+	FAULT_BAD_PASS_HEADER,
+	FAULT_UNKNOWN_MEMBER,
+	FAULT_UNREACHABLE_HOST, /* of the other address family */
+	FAULT_REFUSAL_SUPPRESSED, /* no answer to a RST or an ICMP error */
+	FORWARDER_FAULTS,
+};
+
+static const char *const fault_names[FORWARDER_FAULTS] = {
+	[FAULT_BAD_PASS_HEADER] = "bad_pass_header",
+	[FAULT_UNKNOWN_MEMBER] = "unknown_member",
+	[FAULT_UNREACHABLE_HOST] = "unreachable_host",
+	[FAULT_REFUSAL_SUPPRESSED] = "refusal_suppressed",
+};
+
 struct pass_destination {
 	uint64_t member_id;
 	struct sockaddr_storage address;
@@ -28,10 +44,11 @@
 	uint64_t outcomes[PACKET_OUTCOMES];
 	uint64_t actions[CORE_ACTIONS];
 	uint64_t reasons[CORE_REASONS];
-	uint64_t bad_pass_headers;
-	uint64_t unknown_members;
-	uint64_t unreachable_hosts; /* of the other address family */
-	uint64_t refusals_suppressed;
+	uint64_t faults[FORWARDER_FAULTS];
+	const char *outcome_names[PACKET_OUTCOMES];
+	const char *action_names[CORE_ACTIONS];
+	const char *reason_names[CORE_REASONS];
+	struct counter_registry *counters;
 };
 
 static bool destination_parse(const struct edge *edge, const char *text,
@@ -60,7 +77,7 @@
 	bytes = edge_destination(forwarder->data_edge, &host->address,
 				 host->port, &destination);
 	if (bytes == 0) {
-		forwarder->unreachable_hosts++;
+		forwarder->faults[FAULT_UNREACHABLE_HOST]++;
 		return;
 	}
 	edge_send(forwarder->data_edge, (struct sockaddr *)&destination, bytes,
@@ -80,7 +97,7 @@
 
 	destination = g_hash_table_lookup(forwarder->destinations, &member_id);
 	if (!destination) {
-		forwarder->unknown_members++;
+		forwarder->faults[FAULT_UNKNOWN_MEMBER]++;
 		return;
 	}
 	/* Into the headroom of the edge, or over the header it came with. */
@@ -98,7 +115,7 @@
 	size_t bytes = packet_build_refusal(data, length, facts, refusal);
 
 	if (bytes == 0) {
-		forwarder->refusals_suppressed++;
+		forwarder->faults[FAULT_REFUSAL_SUPPRESSED]++;
 		return;
 	}
 	edge_send_copy(forwarder->data_edge,
@@ -157,7 +174,7 @@
 
 	(void)source;
 	if (!pass_header_read(data, length, &header)) {
-		forwarder->bad_pass_headers++;
+		forwarder->faults[FAULT_BAD_PASS_HEADER]++;
 		return;
 	}
 	packet_handle(forwarder, header.hops, header.sender_id,
@@ -194,6 +211,36 @@
 	return true;
 }
 
+static void edge_register(struct counter_registry *counters, const char *group,
+			  const struct edge *edge)
+{
+	counter_registry_add(counters, group, edge_counter_names,
+			     (const uint64_t *)edge_counters(edge),
+			     EDGE_COUNTERS);
+}
+
+static void counters_register(struct forwarder *forwarder)
+{
+	struct counter_registry *counters = forwarder->counters;
+
+	for (int i = 0; i < PACKET_OUTCOMES; i++)
+		forwarder->outcome_names[i] = packet_outcome_name(i);
+	for (int i = 0; i < CORE_ACTIONS; i++)
+		forwarder->action_names[i] = core_action_name(i);
+	for (int i = 0; i < CORE_REASONS; i++)
+		forwarder->reason_names[i] = core_reason_name(i);
+	edge_register(counters, "data", forwarder->data_edge);
+	edge_register(counters, "pass", forwarder->pass_edge);
+	counter_registry_add(counters, "outcomes", forwarder->outcome_names,
+			     forwarder->outcomes, PACKET_OUTCOMES);
+	counter_registry_add(counters, "actions", forwarder->action_names,
+			     forwarder->actions, CORE_ACTIONS);
+	counter_registry_add(counters, "reasons", forwarder->reason_names,
+			     forwarder->reasons, CORE_REASONS);
+	counter_registry_add(counters, "faults", fault_names, forwarder->faults,
+			     FORWARDER_FAULTS);
+}
+
 struct forwarder *forwarder_create(const struct forwarder_options *options,
 				   struct error *error)
 {
@@ -208,6 +255,7 @@
 	struct forwarder *forwarder = g_new0(struct forwarder, 1);
 
 	forwarder->options = *options;
+	forwarder->counters = counter_registry_create();
 	forwarder->self_id = instance_id_hash(settings->instance_id);
 	forwarder->destinations = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, g_free);
@@ -226,6 +274,7 @@
 		goto fail;
 	if (!destinations_fill(forwarder, error))
 		goto fail;
+	counters_register(forwarder);
 	return forwarder;
 fail:
 	forwarder_destroy(forwarder);
@@ -241,6 +290,7 @@
 	if (forwarder->data_edge)
 		edge_destroy(forwarder->data_edge);
 	g_hash_table_destroy(forwarder->destinations);
+	counter_registry_destroy(forwarder->counters);
 	g_free(forwarder);
 }
 
@@ -249,54 +299,8 @@
 	return edge_counters(forwarder->data_edge)->received;
 }
 
-static void counter_add(JsonBuilder *builder, const char *name, uint64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, (gint64)value);
-}
-
-static void edge_add(JsonBuilder *builder, const char *name,
-		     const struct edge *edge)
-{
-	const struct edge_counters *counters = edge_counters(edge);
-
-	json_builder_set_member_name(builder, name);
-	json_builder_begin_object(builder);
-	counter_add(builder, "received", counters->received);
-	counter_add(builder, "received_bytes", counters->received_bytes);
-	counter_add(builder, "sent", counters->sent);
-	counter_add(builder, "sent_bytes", counters->sent_bytes);
-	counter_add(builder, "send_errors", counters->send_errors);
-	counter_add(builder, "truncated", counters->truncated);
-	json_builder_end_object(builder);
-}
-
 void forwarder_print_json(const struct forwarder *forwarder,
 			  JsonBuilder *builder)
 {
-	edge_add(builder, "data", forwarder->data_edge);
-	edge_add(builder, "pass", forwarder->pass_edge);
-	json_builder_set_member_name(builder, "outcomes");
-	json_builder_begin_object(builder);
-	for (int i = 0; i < PACKET_OUTCOMES; i++)
-		counter_add(builder, packet_outcome_name(i),
-			    forwarder->outcomes[i]);
-	json_builder_end_object(builder);
-	json_builder_set_member_name(builder, "actions");
-	json_builder_begin_object(builder);
-	for (int i = 0; i < CORE_ACTIONS; i++)
-		counter_add(builder, core_action_name(i),
-			    forwarder->actions[i]);
-	json_builder_end_object(builder);
-	json_builder_set_member_name(builder, "reasons");
-	json_builder_begin_object(builder);
-	for (int i = 0; i < CORE_REASONS; i++)
-		counter_add(builder, core_reason_name(i),
-			    forwarder->reasons[i]);
-	json_builder_end_object(builder);
-	counter_add(builder, "bad_pass_headers", forwarder->bad_pass_headers);
-	counter_add(builder, "unknown_members", forwarder->unknown_members);
-	counter_add(builder, "unreachable_hosts", forwarder->unreachable_hosts);
-	counter_add(builder, "refusals_suppressed",
-		    forwarder->refusals_suppressed);
+	counter_registry_print_json(forwarder->counters, builder);
 }
--- a/parsleyladder/peering.c
+++ b/parsleyladder/peering.c
@@ -79,14 +79,16 @@
 	struct peering *peering = context;
 	struct peer_message *message;
 	struct error error;
+	char *reason;
 
 	message = peer_message_decode(data, length, &error);
 	if (!message) {
 		peering->malformed_messages++;
+		reason = g_strescape(error.detail, NULL);
 		log_event(LOG_LEVEL_WARNING, "peer_message_refused",
 			  "sender=%s reason=\"%s\"",
-			  peering_member_name(peering, sender_id),
-			  error.detail);
+			  peering_member_name(peering, sender_id), reason);
+		g_free(reason);
 		return;
 	}
 	switch (message->kind) {
