Measure forwarding with the decision core

forward_over_raw used a table lookup in place of the core, so the figure said nothing about the product's decision. Ruled out: the fixture of the core tests, whose packets are built from facts.

--- a/bench/forward_bench.c
+++ b/bench/forward_bench.c
@@ -1,6 +1,6 @@
 /*
- * Packets per second that are forwarded (edge, parsing, flow hash, a table
- * lookup in place of the core), against a bare recvmmsg/sendmmsg loop over the
+ * Packets per second that are forwarded (edge, parsing, decision core, address
+ * of the host; flows of closed buckets), against a bare recvmmsg/sendmmsg loop over the
  * same datagrams. Both run on the main thread of this process; child processes
  * send and receive.
  *
@@ -11,6 +11,7 @@
  */
 
 #include <errno.h>
+#include <glib.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +21,8 @@
 #include <unistd.h>
 
 #include "common/clock.h"
+#include "configuration/configuration.h"
+#include "core/core.h"
 #include "edge/edge.h"
 #include "edge/socket.h"
 #include "packet/build.h"
@@ -35,9 +38,9 @@
 /* Children end by themselves if this process could not end them. */
 #define CHILD_LIFE_S 10
 #define BUFFER_BYTES (4 * 1024 * 1024)
-/* Table of the stub decision. */
-#define TABLE_BUCKETS 2039
 #define HOSTS 14
+/* A core that is alone starts to decide within this time. */
+#define CORE_START_NS (3 * NS_PER_S)
 #define PARSE_PASSES 500
 
 struct rates {
@@ -56,10 +59,10 @@
 
 struct forwarder {
 	struct edge *edge;
-	uint8_t table[TABLE_BUCKETS];
-	struct sockaddr_storage hosts[HOSTS];
-	socklen_t host_bytes;
-	uint64_t dropped;
+	struct core *core;
+	int64_t stopped_ns; /* of the core's clock, at the end of a round */
+	struct sockaddr_storage sink;
+	socklen_t sink_bytes;
 	uint64_t batches;
 };
 
@@ -199,28 +202,39 @@
 	waitpid(pid, NULL, 0);
 }
 
-/* Stands in for the decision core. */
-static unsigned int stub_decide(const struct forwarder *forwarder,
-				uint64_t hash)
+/* The system's clock, shifted so that the core sees no gap between rounds. */
+static int64_t clock_offset_ns;
+
+static void shifted_now(void *context, struct timespec *out)
 {
-	return forwarder->table[(uint32_t)hash % TABLE_BUCKETS];
+	int64_t now_ns = clock_now_ns(clock_system()) + clock_offset_ns;
+
+	(void)context;
+	out->tv_sec = now_ns / NS_PER_S;
+	out->tv_nsec = now_ns % NS_PER_S;
 }
 
+static const struct clock shifted_clock = { .now = shifted_now };
+
 static void datagram_forward(void *context, uint8_t *data, size_t length,
 			     const struct sockaddr_storage *source)
 {
 	struct forwarder *forwarder = context;
+	struct sockaddr_storage destination;
 	struct packet_facts facts;
-	unsigned int host;
+	struct core_action action;
 
 	(void)source;
-	if (packet_parse(data, length, &facts) != PACKET_OK) {
-		forwarder->dropped++;
-		return;
-	}
-	host = stub_decide(forwarder, flow_key_hash(&facts.key, 42));
-	edge_send(forwarder->edge, (struct sockaddr *)&forwarder->hosts[host],
-		  forwarder->host_bytes, data, length);
+	if (packet_parse(data, length, &facts) != PACKET_OK)
+		abort();
+	core_handle_packet(forwarder->core, &facts, 0, 0, &action);
+	if (action.kind != CORE_FORWARD)
+		abort();
+	edge_destination(forwarder->edge, &action.host->address,
+			 action.host->port, &destination);
+	/* All hosts of the benchmark are one sink. */
+	edge_send(forwarder->edge, (struct sockaddr *)&forwarder->sink,
+		  forwarder->sink_bytes, data, length);
 }
 
 static void batch_count(void *context)
@@ -237,6 +251,10 @@
 	struct edge_counters before = *edge_counters(forwarder->edge);
 
 	forwarder->batches = 0;
+	if (forwarder->stopped_ns != 0)
+		clock_offset_ns -=
+			clock_now_ns(&shifted_clock) - forwarder->stopped_ns;
+	core_tick(forwarder->core);
 	while (clock_now_ns(clock_system()) < until_ns) {
 		if (!g_main_context_iteration(NULL, FALSE))
 			forwarder->batches++;
@@ -245,6 +263,8 @@
 	progress->received =
 		edge_counters(forwarder->edge)->received - before.received;
 	progress->batches = forwarder->batches;
+	core_tick(forwarder->core);
+	forwarder->stopped_ns = clock_now_ns(&shifted_clock);
 }
 
 struct raw_loop {
@@ -405,6 +425,84 @@
 	       (double)(end_ns - middle_ns) / calls);
 }
 
+static void core_send_ignore(void *context, uint64_t member_id,
+			     const struct core_message *message,
+			     enum message_priority priority)
+{
+	(void)context;
+	(void)member_id;
+	(void)message;
+	(void)priority;
+}
+
+static void part_insert(GHashTable *parts, const char *name, char *text)
+{
+	g_hash_table_insert(parts, g_strdup(name),
+			    g_bytes_new_take(text, strlen(text)));
+}
+
+/* One service with 14 hosts and a fewest-moves profile. */
+static struct configuration *configuration_build(void)
+{
+	GHashTable *parts = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	GString *service = g_string_new(
+		"{\"name\":\"s\",\"team\":\"t\",\"profile\":\"p\","
+		"\"addresses\":[{\"address\":\"203.0.113.1\",\"port\":443,"
+		"\"protocol\":\"tcp\"}],\"hosts\":[");
+	struct configuration *configuration;
+	struct error error;
+
+	for (int i = 0; i < HOSTS; i++)
+		g_string_append_printf(
+			service,
+			"%s{\"name\":\"h%d\",\"address\":\"127.0.2.%d\","
+			"\"port\":6080,\"availability_zone\":\"a\","
+			"\"slots\":3,\"connections\":2000,"
+			"\"state\":\"serving\"}",
+			i ? "," : "", i, i + 1);
+	g_string_append(service, "]}");
+	part_insert(parts, "profiles",
+		    g_strdup("{\"profiles\":[{\"name\":\"p\","
+			     "\"spread\":\"fewest_moves\"}]}"));
+	part_insert(parts, "service/s", g_string_free(service, FALSE));
+	configuration = configuration_create(1, parts, &error);
+	g_hash_table_unref(parts);
+	if (!configuration) {
+		fprintf(stderr, "%s\n", error.detail);
+		exit(EXIT_FAILURE);
+	}
+	return configuration;
+}
+
+static struct core *core_open(void)
+{
+	const struct core_options options = {
+		.self_id = 1,
+		.clock = &shifted_clock,
+		.flow_hash_seed = 42,
+		.random_seed = 1,
+		.exceptions_max = 1024,
+		.send = core_send_ignore,
+	};
+	struct configuration *configuration = configuration_build();
+	struct member_view *view =
+		g_malloc0(sizeof(*view) + sizeof(view->members[0]));
+	struct core *core = core_create(&options);
+
+	view->version = 1;
+	view->member_count = 1;
+	view->members[0] = (struct member){ .id = 1, .state = MEMBER_ACTIVE };
+	core_apply_configuration(core, configuration);
+	core_set_view(core, view);
+	for (; clock_offset_ns < CORE_START_NS;
+	     clock_offset_ns += CORE_TICK_MS * NS_PER_MS)
+		core_tick(core);
+	configuration_unref(configuration);
+	g_free(view);
+	return core;
+}
+
 static void forwarder_open(struct forwarder *forwarder,
 			   const struct sockaddr_storage *sink,
 			   socklen_t sink_bytes)
@@ -423,11 +521,9 @@
 		fprintf(stderr, "%s\n", error.detail);
 		exit(EXIT_FAILURE);
 	}
-	for (int i = 0; i < HOSTS; i++)
-		forwarder->hosts[i] = *sink;
-	forwarder->host_bytes = sink_bytes;
-	for (int i = 0; i < TABLE_BUCKETS; i++)
-		forwarder->table[i] = i % HOSTS;
+	forwarder->sink = *sink;
+	forwarder->sink_bytes = sink_bytes;
+	forwarder->core = core_open();
 }
 
 int main(void)
@@ -466,5 +562,6 @@
 	rates_print("raw", &bare.rates);
 	parse_measure();
 	edge_destroy(forwarder.edge);
-	return forwarder.dropped == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	core_destroy(forwarder.core);
+	return EXIT_SUCCESS;
 }
