--- a/include/parsleyladder/command.h
+++ b/include/parsleyladder/command.h
@@ -2,20 +2,10 @@
 #define PARSLEYLADDER_PARSLEYLADDER_COMMAND_H
 
 /**
- * Commands of the binary. Each one parses its own arguments with argp and
- * returns an exit code (see error_answer()).
+ * Commands of the binary, one file each under parsleyladder/commands.
  */
 
-struct command {
-	const char *name;
-	const char *summary;
-	int (*run)(int argc, char **argv);
-};
-
-/** Returns NULL if there is no command @name. */
-const struct command *command_find(const char *name);
-/** Prints name and summary of every command to the standard output. */
-void command_list(void);
+#include "common/command.h"
 
 int command_balancer(int argc, char **argv);
 int command_check_config(int argc, char **argv);
--- a/include/standins/command.h
+++ b/include/standins/command.h
@@ -7,17 +7,7 @@
  * runs until SIGTERM.
  */
 
-#include <stdbool.h>
-
-struct standin_command {
-	const char *name;
-	const char *summary;
-	int (*run)(int argc, char **argv);
-};
-
-/** Returns NULL if there is no command @name. */
-const struct standin_command *standin_command_find(const char *name);
-void standin_command_list(void);
+#include "common/command.h"
 
 int standin_command_link(int argc, char **argv);
 int standin_command_platform(int argc, char **argv);
--- a/include/standins/control.h
+++ b/include/standins/control.h
@@ -34,6 +34,8 @@
 const char *control_text(JsonObject *request, const char *name,
 			 const char *fallback);
 double control_number(JsonObject *request, const char *name, double fallback);
+/** Name of an availability zone in a request; the quark of "" if missing. */
+GQuark control_zone(JsonObject *request, const char *name);
 
 /** Adds a numeric member to @builder. */
 void control_add_number(JsonBuilder *builder, const char *name, double value);
--- a/include/standins/world/network.h
+++ b/include/standins/world/network.h
@@ -7,6 +7,7 @@
  */
 
 #include <glib.h>
+#include <json-glib/json-glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -35,6 +36,8 @@
 /** Draws the fate of one packet: false if lost, else its delay. */
 bool network_plan(struct network *network, GQuark a, GQuark b,
 		  int64_t *delay_ns);
+/** Handles the control requests cut, delay and lose; false for any other. */
+bool network_request(struct network *network, JsonObject *request);
 /** Uniform number in [0, bound); @bound must not be 0. */
 uint32_t network_random(struct network *network, uint32_t bound);
 
--- a/parsleyladder/main.c
+++ b/parsleyladder/main.c
@@ -1,34 +1,28 @@
-#include <stdio.h>
-#include <string.h>
-
-#include "common/error.h"
 #include "parsleyladder/command.h"
 
-static void usage_print(void)
-{
-	puts("Usage: parsleyladder COMMAND [ARGUMENT...]\n\nCommands:");
-	command_list();
-	puts("\n`parsleyladder COMMAND --help` describes a command.");
-}
+static const struct command commands[] = {
+	{ "balancer", "run a balancer", command_balancer },
+	{ "check-config", "check a configuration, and say what a change does",
+	  command_check_config },
+	{ "check-settings", "check the settings of a process",
+	  command_check_settings },
+	{ "dump", "print the state of a live process", command_dump },
+	{ "explain", "say where a packet of a flow would go, and why",
+	  command_explain },
+	{ "keygen", "print a new key pair for peers", command_keygen },
+	{ "print-settings", "print the settings of a process with defaults",
+	  command_print_settings },
+	{ "version", "print the version", command_version },
+};
 
 int main(int argc, char **argv)
 {
-	const struct command *command;
+	const struct command_set set = {
+		.program = "parsleyladder",
+		.version = PARSLEYLADDER_VERSION,
+		.commands = commands,
+		.count = sizeof(commands) / sizeof(commands[0]),
+	};
 
-	if (argc < 2) {
-		usage_print();
-		return error_answer(ERROR_USAGE)->exit_code;
-	}
-	if (strcmp(argv[1], "--help") == 0) {
-		usage_print();
-		return 0;
-	}
-	if (strcmp(argv[1], "--version") == 0)
-		return command_version(0, NULL);
-	command = command_find(argv[1]);
-	if (!command) {
-		fprintf(stderr, "parsleyladder: no command '%s'\n", argv[1]);
-		return error_answer(ERROR_USAGE)->exit_code;
-	}
-	return command->run(argc - 1, argv + 1);
+	return command_set_run(&set, argc, argv);
 }
--- a/standins/control.c
+++ b/standins/control.c
@@ -172,3 +172,8 @@
 	json_builder_set_member_name(builder, name);
 	json_builder_add_double_value(builder, value);
 }
+
+GQuark control_zone(JsonObject *request, const char *name)
+{
+	return g_quark_from_string(control_text(request, name, ""));
+}
--- a/standins/link/link.c
+++ b/standins/link/link.c
@@ -25,20 +25,6 @@
 	g_free(link);
 }
 
-static GQuark zone_read(JsonObject *request, const char *name)
-{
-	return g_quark_from_string(control_text(request, name, ""));
-}
-
-static bool handle_cut(struct link *link, JsonObject *request,
-		       JsonBuilder *reply, struct error *error)
-{
-	network_set_cut(link->network, zone_read(request, "a"),
-			zone_read(request, "b"),
-			control_number(request, "cut", 1) != 0);
-	return true;
-}
-
 static bool handle_cut_pair(struct link *link, JsonObject *request,
 			    JsonBuilder *reply, struct error *error)
 {
@@ -61,28 +47,6 @@
 	return true;
 }
 
-static bool handle_delay(struct link *link, JsonObject *request,
-			 JsonBuilder *reply, struct error *error)
-{
-	double delay_ms = control_number(request, "delay_ms", 0);
-	double jitter_ms = control_number(request, "jitter_ms", 0);
-
-	network_set_delay(link->network, zone_read(request, "a"),
-			  zone_read(request, "b"),
-			  (int64_t)(delay_ms * (double)NS_PER_MS),
-			  (int64_t)(jitter_ms * (double)NS_PER_MS));
-	return true;
-}
-
-static bool handle_lose(struct link *link, JsonObject *request,
-			JsonBuilder *reply, struct error *error)
-{
-	network_set_loss(link->network, zone_read(request, "a"),
-			 zone_read(request, "b"),
-			 control_number(request, "loss", 0));
-	return true;
-}
-
 static bool handle_pair(struct link *link, JsonObject *request,
 			JsonBuilder *reply, struct error *error)
 {
@@ -130,9 +94,9 @@
 
 /* Sorted by name for bsearch(). */
 static const struct request_handler handlers[] = {
-	{ "cut", handle_cut },	   { "cut_pair", handle_cut_pair },
-	{ "delay", handle_delay }, { "lose", handle_lose },
-	{ "pair", handle_pair },   { "report", handle_report },
+	{ "cut_pair", handle_cut_pair },
+	{ "pair", handle_pair },
+	{ "report", handle_report },
 };
 
 static int handler_compare(const void *key, const void *element)
@@ -143,12 +107,15 @@
 bool link_control(void *context, JsonObject *request, JsonBuilder *reply,
 		  struct error *error)
 {
+	struct link *link = context;
 	const char *name = control_text(request, "do", "");
 	const struct request_handler *handler =
 		bsearch(name, handlers, G_N_ELEMENTS(handlers),
 			sizeof(handlers[0]), handler_compare);
 
+	if (network_request(link->network, request))
+		return true;
 	if (!handler)
 		return error_set(error, ERROR_USAGE, "no request '%s'", name);
-	return handler->handle(context, request, reply, error);
+	return handler->handle(link, request, reply, error);
 }
--- a/standins/main.c
+++ b/standins/main.c
@@ -1,33 +1,20 @@
-#include <stdio.h>
-#include <string.h>
-
-#include "common/error.h"
 #include "standins/command.h"
 
-static void usage_print(void)
-{
-	puts("Usage: parsleyladder-standin COMMAND [OPTION...]\n\nCommands:");
-	standin_command_list();
-	puts("\n`parsleyladder-standin COMMAND --help` describes a command.");
-}
+static const struct command commands[] = {
+	{ "link", "relay between balancers", standin_command_link },
+	{ "platform", "the platform's configuration service",
+	  standin_command_platform },
+	{ "world", "fabric, callers and backend servers",
+	  standin_command_world },
+};
 
 int main(int argc, char **argv)
 {
-	const struct standin_command *command;
+	const struct command_set set = {
+		.program = "parsleyladder-standin",
+		.commands = commands,
+		.count = sizeof(commands) / sizeof(commands[0]),
+	};
 
-	if (argc < 2) {
-		usage_print();
-		return error_answer(ERROR_USAGE)->exit_code;
-	}
-	if (strcmp(argv[1], "--help") == 0) {
-		usage_print();
-		return 0;
-	}
-	command = standin_command_find(argv[1]);
-	if (!command) {
-		fprintf(stderr, "parsleyladder-standin: no command '%s'\n",
-			argv[1]);
-		return error_answer(ERROR_USAGE)->exit_code;
-	}
-	return command->run(argc - 1, argv + 1);
+	return command_set_run(&set, argc, argv);
 }
--- a/standins/world/network.c
+++ b/standins/world/network.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "common/clock.h"
+#include "standins/control.h"
+
 struct link {
 	GQuark a;
 	GQuark b;
@@ -112,3 +115,26 @@
 {
 	return (uint32_t)g_rand_int_range(network->random, 0, (gint32)bound);
 }
+
+bool network_request(struct network *network, JsonObject *request)
+{
+	const char *name = control_text(request, "do", "");
+	GQuark a = control_zone(request, "a");
+	GQuark b = control_zone(request, "b");
+	double delay_ms = control_number(request, "delay_ms", 0);
+	double jitter_ms = control_number(request, "jitter_ms", 0);
+
+	if (strcmp(name, "cut") == 0)
+		network_set_cut(network, a, b,
+				control_number(request, "cut", 1) != 0);
+	else if (strcmp(name, "delay") == 0)
+		network_set_delay(network, a, b,
+				  (int64_t)(delay_ms * (double)NS_PER_MS),
+				  (int64_t)(jitter_ms * (double)NS_PER_MS));
+	else if (strcmp(name, "lose") == 0)
+		network_set_loss(network, a, b,
+				 control_number(request, "loss", 0));
+	else
+		return false;
+	return true;
+}
--- a/standins/world/world_control.c
+++ b/standins/world/world_control.c
@@ -7,11 +7,6 @@
 
 #define PAYLOAD_BYTES_DEFAULT 200
 
-static GQuark zone_read(JsonObject *request, const char *name)
-{
-	return g_quark_from_string(control_text(request, name, ""));
-}
-
 static bool service_read(struct world *world, JsonObject *request,
 			 uint32_t *service, struct error *error)
 {
@@ -47,7 +42,7 @@
 	return fabric_add(world->fabric, control_text(request, "name", ""),
 			  control_text(request, "address", ""),
 			  (uint16_t)control_number(request, "port", 0),
-			  zone_read(request, "zone"), error);
+			  control_zone(request, "zone"), error);
 }
 
 static bool handle_balancer_gone(struct world *world, JsonObject *request,
@@ -95,28 +90,6 @@
 	return true;
 }
 
-static bool handle_cut(struct world *world, JsonObject *request,
-		       JsonBuilder *reply, struct error *error)
-{
-	network_set_cut(world->network, zone_read(request, "a"),
-			zone_read(request, "b"),
-			control_number(request, "cut", 1) != 0);
-	return true;
-}
-
-static bool handle_delay(struct world *world, JsonObject *request,
-			 JsonBuilder *reply, struct error *error)
-{
-	double delay_ms = control_number(request, "delay_ms", 0);
-	double jitter_ms = control_number(request, "jitter_ms", 0);
-
-	network_set_delay(world->network, zone_read(request, "a"),
-			  zone_read(request, "b"),
-			  (int64_t)(delay_ms * (double)NS_PER_MS),
-			  (int64_t)(jitter_ms * (double)NS_PER_MS));
-	return true;
-}
-
 static bool handle_host_down(struct world *world, JsonObject *request,
 			     JsonBuilder *reply, struct error *error)
 {
@@ -131,15 +104,6 @@
 	return true;
 }
 
-static bool handle_lose(struct world *world, JsonObject *request,
-			JsonBuilder *reply, struct error *error)
-{
-	network_set_loss(world->network, zone_read(request, "a"),
-			 zone_read(request, "b"),
-			 control_number(request, "loss", 0));
-	return true;
-}
-
 static bool handle_open(struct world *world, JsonObject *request,
 			JsonBuilder *reply, struct error *error)
 {
@@ -207,10 +171,7 @@
 	{ "balancer_gone", handle_balancer_gone },
 	{ "catalogue", handle_catalogue },
 	{ "close", handle_close },
-	{ "cut", handle_cut },
-	{ "delay", handle_delay },
 	{ "host_down", handle_host_down },
-	{ "lose", handle_lose },
 	{ "open", handle_open },
 	{ "report", handle_report },
 	{ "send", handle_send },
@@ -225,12 +186,15 @@
 bool world_control(void *context, JsonObject *request, JsonBuilder *reply,
 		   struct error *error)
 {
+	struct world *world = context;
 	const char *name = control_text(request, "do", "");
 	const struct request_handler *handler =
 		bsearch(name, handlers, G_N_ELEMENTS(handlers),
 			sizeof(handlers[0]), handler_compare);
 
+	if (network_request(world->network, request))
+		return true;
 	if (!handler)
 		return error_set(error, ERROR_USAGE, "no request '%s'", name);
-	return handler->handle(context, request, reply, error);
+	return handler->handle(world, request, reply, error);
 }
--- a/tests/admin/test_admin.c
+++ b/tests/admin/test_admin.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "admin/admin.h"
+#include "suite.h"
 
 #define FLOW_PATH "/v1/explain?protocol=tcp&caller=192.0.2.1&caller_port=4000"
 
@@ -304,8 +305,6 @@
 {
 	Suite *suite = suite_create("admin");
 	TCase *tests = tcase_create("admin");
-	SRunner *runner;
-	int failed;
 
 	if (argc != 2)
 		return EXIT_FAILURE;
@@ -315,9 +314,5 @@
 	tcase_add_test(tests, listen_failures);
 	tcase_add_loop_test(tests, command, 0, G_N_ELEMENTS(commands));
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/common/test_clock.c
+++ b/tests/common/test_clock.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "common/clock.h"
+#include "suite.h"
 
 static const int64_t instants_ns[] = {
 	0, 1, NS_PER_S - 1, NS_PER_S, 86400 * NS_PER_S + 999,
@@ -28,16 +29,10 @@
 {
 	Suite *suite = suite_create("clock");
 	TCase *tests = tcase_create("conversion");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, manual_clock_round_trip, 0,
 			    sizeof(instants_ns) / sizeof(instants_ns[0]));
 	tcase_add_test(tests, system_clock_does_not_go_back);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/common/test_counters.c
+++ b/tests/common/test_counters.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "common/counters.h"
+#include "suite.h"
 
 static const struct {
 	uint64_t values[4]; /* 0 ends the list */
@@ -77,16 +78,10 @@
 {
 	Suite *suite = suite_create("counters");
 	TCase *tests = tcase_create("counters");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, quantile, 0,
 			    sizeof(quantiles) / sizeof(quantiles[0]));
 	tcase_add_test(tests, print);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/common/test_error.c
+++ b/tests/common/test_error.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/error.h"
+#include "suite.h"
 
 START_TEST(every_kind_has_an_answer) {
 	const struct error_answer *answer = error_answer(_i);
@@ -43,17 +44,11 @@
 {
 	Suite *suite = suite_create("error");
 	TCase *tests = tcase_create("answers");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, every_kind_has_an_answer, 0, ERROR_KINDS);
 	tcase_add_test(tests, unknown_kind_is_internal);
 	tcase_add_test(tests, set_without_error_is_allowed);
 	tcase_add_test(tests, long_detail_is_cut);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/common/test_log.c
+++ b/tests/common/test_log.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "common/log.h"
+#include "suite.h"
 
 static char line[4096];
 
@@ -63,16 +64,10 @@
 {
 	Suite *suite = suite_create("log");
 	TCase *tests = tcase_create("events");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, event_is_one_line_of_pairs);
 	tcase_add_test(tests, event_below_the_level_is_left_out);
 	tcase_add_test(tests, level_names);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/common/test_token_bucket.c
+++ b/tests/common/test_token_bucket.c
@@ -8,6 +8,7 @@
 
 #include "common/clock.h"
 #include "common/token_bucket.h"
+#include "suite.h"
 
 static const struct {
 	uint32_t rate_per_s;
@@ -83,8 +84,6 @@
 {
 	Suite *suite = suite_create("token bucket");
 	TCase *tests = tcase_create("rate");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, rate_is_kept_in_small_steps, 0,
 			    sizeof(rates) / sizeof(rates[0]));
@@ -93,9 +92,5 @@
 	tcase_add_test(tests, debt_is_bounded_and_paid_off);
 	tcase_add_test(tests, clock_that_goes_back_gives_nothing);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/configuration/test_configuration.c
+++ b/tests/configuration/test_configuration.c
@@ -10,6 +10,7 @@
 
 #include "configuration/configuration.h"
 #include "configuration/json_text.h"
+#include "suite.h"
 
 static const char profiles[] =
 	"{\"profiles\":[{\"name\":\"plain\",\"spread\":\"fewest_moves\"}]}";
@@ -371,8 +372,6 @@
 {
 	Suite *suite = suite_create("configuration");
 	TCase *tests = tcase_create("revision");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, bad_parts_are_refused, 0,
 			    G_N_ELEMENTS(bad_cases));
@@ -391,9 +390,5 @@
 			    G_N_ELEMENTS(example_files));
 	tcase_add_test(tests, errors_of_files_name_the_file);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/configuration/test_diff.c
+++ b/tests/configuration/test_diff.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "configuration/diff.h"
+#include "suite.h"
 
 static const char profiles[] =
 	"{\"profiles\":[{\"name\":\"p\",\"spread\":\"fewest_moves\"},"
@@ -144,15 +145,9 @@
 {
 	Suite *suite = suite_create("diff");
 	TCase *tests = tcase_create("changes");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, changes_are_listed_and_checked, 0,
 			    G_N_ELEMENTS(cases));
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/configuration/test_manual.c
+++ b/tests/configuration/test_manual.c
@@ -8,6 +8,7 @@
 #include "configuration/configuration.h"
 #include "configuration/field_reader.h"
 #include "configuration/settings.h"
+#include "suite.h"
 
 /** Text of a page without line breaks, indentation and escapes. */
 static char *page_read(const char *name)
@@ -107,15 +108,9 @@
 {
 	Suite *suite = suite_create("manual");
 	TCase *tests = tcase_create("fields");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, settings_page_is_complete);
 	tcase_add_test(tests, configuration_page_is_complete);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/configuration/test_settings.c
+++ b/tests/configuration/test_settings.c
@@ -10,6 +10,7 @@
 
 #include "configuration/field_reader.h"
 #include "configuration/settings.h"
+#include "suite.h"
 
 #define PUBLIC "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7"
 #define SECRET "JTKVSB%%)wK0E.X)V>+}o?pNmC{O&4W4b!Ni{Lh6"
@@ -203,8 +204,6 @@
 {
 	Suite *suite = suite_create("settings");
 	TCase *tests = tcase_create("fields");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, bad_settings_are_refused, 0,
 			    G_N_ELEMENTS(bad_cases));
@@ -213,9 +212,5 @@
 	tcase_add_test(tests, example_is_valid);
 	tcase_add_test(tests, deep_nesting_is_refused);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/core/test_core.c
+++ b/tests/core/test_core.c
@@ -8,6 +8,7 @@
 
 #include "cluster.h"
 #include "fixture.h"
+#include "suite.h"
 
 #define FLOWS 400
 
@@ -351,8 +352,6 @@
 {
 	Suite *suite = suite_create("core");
 	TCase *tests = tcase_create("rules");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 60);
 	tcase_add_test(tests, lone_member_serves_after_the_cold_start);
@@ -370,9 +369,5 @@
 	tcase_add_test(tests, odd_input_is_counted_and_changes_nothing);
 	tcase_add_test(tests, leaving_member_hands_over);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/core/test_explorer.c
+++ b/tests/core/test_explorer.c
@@ -12,6 +12,7 @@
 
 #include "cluster.h"
 #include "explorer.h"
+#include "suite.h"
 
 #define LOSS_PERMILLE 20
 #define RUN_S 40
@@ -109,8 +110,6 @@
 {
 	Suite *suite = suite_create("core explorer");
 	TCase *tests = tcase_create("runs");
-	SRunner *runner;
-	int failed;
 
 	if (argc > 1)
 		return run_seeds(argc, argv);
@@ -119,9 +118,5 @@
 	tcase_add_loop_test(tests, switched_off_rule_is_noticed, 0,
 			    G_N_ELEMENTS(rule_cases));
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/edge/test_edge.c
+++ b/tests/edge/test_edge.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "edge/edge.h"
+#include "suite.h"
 
 /* Iterations that any of these tests needs at most. */
 #define ITERATIONS_MAX 10000
@@ -273,8 +274,6 @@
 {
 	Suite *suite = suite_create("edge");
 	TCase *tests = tcase_create("edge");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, echo_with_headroom);
 	tcase_add_test(tests, port_in_use);
@@ -285,9 +284,5 @@
 	tcase_add_test(tests, overflow_is_counted);
 	tcase_add_test(tests, mapped_addresses);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/flow/test_flow.c
+++ b/tests/flow/test_flow.c
@@ -10,6 +10,7 @@
 #include "flow/answer_cache.h"
 #include "flow/flow_table.h"
 #include "flow/recent_filter.h"
+#include "suite.h"
 
 #define ENTRIES 5000
 
@@ -106,8 +107,6 @@
 {
 	Suite *suite = suite_create("flow");
 	TCase *tests = tcase_create("tables");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, removal_keeps_all_others);
 	tcase_add_test(tests, full_table_refuses_but_keeps);
@@ -115,9 +114,5 @@
 	tcase_add_test(tests, answers_expire);
 	tcase_add_test(tests, filter_counts_each_hash);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/peer/test_membership.c
+++ b/tests/peer/test_membership.c
@@ -9,6 +9,7 @@
 
 #include "member_network.h"
 #include "peer/membership_state.h"
+#include "suite.h"
 
 #define MEMBERS 8
 #define MINUTE_MS 60000
@@ -398,8 +399,6 @@
 {
 	Suite *suite = suite_create("membership");
 	TCase *tests = tcase_create("manual clock");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, members_find_each_other);
 	tcase_add_test(tests, member_that_hears_nobody_is_alone);
@@ -421,9 +420,5 @@
 	tcase_add_test(tests, state_is_printed_as_json);
 	tcase_set_timeout(tests, 100);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/peer/test_message_codec.c
+++ b/tests/peer/test_message_codec.c
@@ -10,6 +10,7 @@
 
 #include "peer/message_codec.h"
 #include "peer/table_codec.h"
+#include "suite.h"
 
 #define BUCKETS 10007
 #define HOSTS 14
@@ -317,8 +318,6 @@
 {
 	Suite *suite = suite_create("message codec");
 	TCase *tests = tcase_create("wire form");
-	SRunner *runner;
-	int failed;
 
 	tables_fill(HOSTS);
 	tcase_add_loop_test(tests, round_trip_keeps_every_field, 0,
@@ -336,9 +335,5 @@
 	tcase_add_loop_test(tests, map_is_compact, 0, G_N_ELEMENTS(map_sizes));
 	tcase_set_timeout(tests, 30);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/peer/test_revision_sync.c
+++ b/tests/peer/test_revision_sync.c
@@ -9,6 +9,7 @@
 
 #include "peer/reader_election.h"
 #include "peer/revision_sync.h"
+#include "suite.h"
 
 #define NODES 4
 #define SERVICES 3
@@ -493,14 +494,8 @@
 {
 	Suite *suite = suite_create("revision_sync");
 	TCase *tests = tcase_create("exchange");
-	SRunner *runner;
-	int failed;
 
 	add_tests(tests);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/peer/test_transport.c
+++ b/tests/peer/test_transport.c
@@ -15,6 +15,7 @@
 #include "peer/send_queue.h"
 #include "peer/transport.h"
 #include "peer/transport_state.h"
+#include "suite.h"
 
 #define NODES 3
 #define RECEIVED_MAX 4096
@@ -462,8 +463,6 @@
 {
 	Suite *suite = suite_create("transport");
 	TCase *tests = tcase_create("loopback");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, message_of_any_length_arrives, 0,
 			    G_N_ELEMENTS(lengths));
@@ -480,9 +479,5 @@
 	tcase_add_test(tests, port_in_use_and_bad_keys_are_reported);
 	tcase_set_timeout(tests, 60);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/placement/test_placement.c
+++ b/tests/placement/test_placement.c
@@ -11,6 +11,7 @@
 #include "placement/maglev.h"
 #include "placement/rendezvous.h"
 #include "placement/target.h"
+#include "suite.h"
 
 #define SIZE 2039
 #define HOSTS_MAX 16
@@ -205,8 +206,6 @@
 {
 	Suite *suite = suite_create("placement");
 	TCase *tests = tcase_create("tables");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, table_size_is_a_listed_prime, 0,
 			    G_N_ELEMENTS(size_cases));
@@ -220,9 +219,5 @@
 	tcase_add_test(tests,
 		       load_figures_are_absolute_and_end_with_their_member);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/platform/test_answer.c
+++ b/tests/platform/test_answer.c
@@ -9,6 +9,7 @@
 
 #include "platform/answer.h"
 #include "platform/backoff.h"
+#include "suite.h"
 
 START_TEST(backoff_stays_within_its_bounds) {
 	GRand *random = g_rand_new_with_seed((guint32)_i);
@@ -64,16 +65,10 @@
 {
 	Suite *suite = suite_create("answer");
 	TCase *tests = tcase_create("answers");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, backoff_stays_within_its_bounds, 0, 10);
 	tcase_add_loop_test(tests, bad_index_is_refused, 0,
 			    G_N_ELEMENTS(bad_indexes));
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "platform/platform.h"
+#include "suite.h"
 
 #define PROFILES "{\"profiles\":[{\"name\":\"p\",\"spread\":\"fewest_moves\"}]}"
 #define SERVICE_HEAD                                             \
@@ -462,8 +463,6 @@
 {
 	Suite *suite = suite_create("platform");
 	TCase *tests = tcase_create("client");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 40);
 	tcase_add_test(tests,
@@ -477,9 +476,5 @@
 	tcase_add_test(tests,
 		       platform_that_never_waits_is_not_called_in_a_loop);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/standins/test_caller_flow.c
+++ b/tests/standins/test_caller_flow.c
@@ -10,6 +10,7 @@
 #include "packet/packet.h"
 #include "standins/world/caller_flow.h"
 #include "standins/world/ledger.h"
+#include "suite.h"
 
 struct sent {
 	unsigned int syns;
@@ -194,8 +195,6 @@
 {
 	Suite *suite = suite_create("caller flow");
 	TCase *tests = tcase_create("flow");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, flow_setup, NULL);
 	tcase_add_test(tests, syn_is_repeated_after_1_3_and_7_s);
@@ -208,9 +207,5 @@
 	tcase_add_test(tests, packet_round_trip);
 	tcase_add_test(tests, product_refusal_is_accepted);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/standins/test_connection.c
+++ b/tests/standins/test_connection.c
@@ -9,6 +9,7 @@
 #include "common/clock.h"
 #include "packet/packet.h"
 #include "standins/world/connection.h"
+#include "suite.h"
 
 #define FLOW 77
 #define TCP PACKET_PROTOCOL_TCP
@@ -156,16 +157,10 @@
 {
 	Suite *suite = suite_create("connection");
 	TCase *tests = tcase_create("steps");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests, steps_give_expected_replies, 0,
 			    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tests, closed_connection_is_forgotten_later);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/standins/test_language.c
+++ b/tests/standins/test_language.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "standins/scenario/language.h"
+#include "suite.h"
 
 START_TEST(comments_and_blank_lines_are_skipped) {
 	struct error error = { 0 };
@@ -97,8 +98,6 @@
 {
 	Suite *suite = suite_create("scenario language");
 	TCase *tests = tcase_create("lines");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, comments_and_blank_lines_are_skipped);
 	tcase_add_test(tests, unbalanced_quote_names_its_line);
@@ -108,9 +107,5 @@
 	tcase_add_test(tests, unknown_operator_is_an_error);
 	tcase_add_test(tests, number_must_be_the_whole_word);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
