Drop packets that waited in the sockets during a pause

Ruled out: the core, which takes the SYN for a new one and cannot know its age; receive timestamps for each packet, which cost a control message a datagram. Change: for 50 ms after a gap of more than 1 s the forwarder drops and counts what it receives; callers repeat what is still wanted.

--- a/include/parsleyladder/forwarder.h
+++ b/include/parsleyladder/forwarder.h
@@ -21,9 +21,10 @@
 	struct core *core;
 	/**
 	 * Called before the first packet of each batch, so that a process that
-	 * was paused notices it before it acts on packets.
+	 * was paused notices it before it acts on packets. Returns false if the
+	 * batch has to be dropped.
 	 */
-	void (*on_batch_begin)(void *context);
+	bool (*on_batch_begin)(void *context);
 	void *context;
 };
 
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -11,6 +11,8 @@
 #define FABRIC_QUIET_NS (1 * NS_PER_S)
 /* A larger part would hold maps back for seconds at the control budget. */
 #define REVISION_BULK_BYTES (16 * 1024)
+/* A full receive buffer is emptied in a few milliseconds. */
+#define WAKE_DISCARD_NS (50 * NS_PER_MS)
 
 static void core_send(void *context, uint64_t member_id,
 		      const struct core_message *message,
@@ -162,11 +164,27 @@
 	}
 }
 
-static void batch_begin(void *context)
+/*
+ * Packets that waited in the sockets during a pause are old: callers have
+ * repeated them, and an old SYN could open a second backend server.
+ */
+static bool is_awake(struct balancer *balancer)
+{
+	int64_t now_ns = clock_now_ns(balancer->clock);
+
+	if (now_ns - balancer->awake_ns > PAUSE_MS * NS_PER_MS)
+		balancer->discard_until_ns = now_ns + WAKE_DISCARD_NS;
+	balancer->awake_ns = now_ns;
+	return now_ns >= balancer->discard_until_ns;
+}
+
+static bool batch_begin(void *context)
 {
 	struct balancer *balancer = context;
+	bool may_forward = is_awake(balancer);
 
 	membership_tick(peering_membership(balancer->peering));
+	return may_forward;
 }
 
 static bool shutdown_is_finished(const struct balancer *balancer)
@@ -211,6 +229,7 @@
 	struct balancer *balancer = context;
 	struct membership *membership = peering_membership(balancer->peering);
 
+	is_awake(balancer);
 	membership_tick(membership);
 	core_tick(balancer->core);
 	revision_sync_tick(balancer->revision_sync);
@@ -386,6 +405,7 @@
 	};
 
 	balancer->last_packet_ns = clock_now_ns(balancer->clock);
+	balancer->awake_ns = balancer->last_packet_ns;
 	log_event(LOG_LEVEL_INFO, "balancer_started",
 		  "zone=%s data=%s:%u peers=%zu", balancer->settings->zone,
 		  balancer->settings->data_address,
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -36,6 +36,8 @@
 	uint64_t refused_revision; /* the last one */
 	char refused_reason[ERROR_DETAIL_BYTES];
 	uint64_t view_version;
+	int64_t awake_ns; /* when the loop last ran */
+	int64_t discard_until_ns; /* packets are dropped before this */
 	bool is_active;
 	bool is_leaving;
 	int64_t leaving_since_ns;
--- a/parsleyladder/forwarder.c
+++ b/parsleyladder/forwarder.c
@@ -15,6 +15,7 @@
 	FAULT_BAD_PASS_HEADER,
 	FAULT_UNKNOWN_MEMBER,
 	FAULT_UNREACHABLE_HOST, /* of the other address family */
+	FAULT_STALE_AFTER_PAUSE,
 	FAULT_REFUSAL_SUPPRESSED, /* no answer to a RST or an ICMP error */
 	FORWARDER_FAULTS,
 };
@@ -23,6 +24,7 @@
 	[FAULT_BAD_PASS_HEADER] = "bad_pass_header",
 	[FAULT_UNKNOWN_MEMBER] = "unknown_member",
 	[FAULT_UNREACHABLE_HOST] = "unreachable_host",
+	[FAULT_STALE_AFTER_PAUSE] = "stale_after_pause",
 	[FAULT_REFUSAL_SUPPRESSED] = "refusal_suppressed",
 };
 
@@ -41,6 +43,7 @@
 	struct sockaddr_storage fabric;
 	socklen_t fabric_bytes;
 	bool is_in_batch;
+	bool is_batch_dropped;
 	uint64_t outcomes[PACKET_OUTCOMES];
 	uint64_t actions[CORE_ACTIONS];
 	uint64_t reasons[CORE_REASONS];
@@ -132,7 +135,13 @@
 
 	if (!forwarder->is_in_batch) {
 		forwarder->is_in_batch = true;
-		forwarder->options.on_batch_begin(forwarder->options.context);
+		forwarder->is_batch_dropped =
+			!forwarder->options.on_batch_begin(
+				forwarder->options.context);
+	}
+	if (forwarder->is_batch_dropped) {
+		forwarder->faults[FAULT_STALE_AFTER_PAUSE]++;
+		return;
 	}
 	outcome = packet_parse(data, length, &facts);
 	forwarder->outcomes[outcome]++;
