--- a/core/choose.c
+++ b/core/choose.c
@@ -8,9 +8,16 @@
 	int64_t weight;
 };
 
-static int64_t host_load(const struct host_entry *state)
+/*
+ * The other owners decide on the same figures and place about as many flows
+ * here as this one; their reports of these flows are still to come.
+ */
+static int64_t host_load(const struct core *core,
+			 const struct host_entry *state)
 {
-	return MAX(state->total, 0);
+	int64_t others = core->active_count > 1 ? core->active_count - 1 : 0;
+
+	return MAX(state->total + others * state->placed, 0);
 }
 
 static struct load_sum loads_sum(const struct core *core,
@@ -23,7 +30,7 @@
 
 		if (weight == 0)
 			continue;
-		sum.flows += host_load(service->hosts[i]);
+		sum.flows += host_load(core, service->hosts[i]);
 		sum.weight += weight;
 	}
 	return sum;
@@ -39,7 +46,7 @@
 	int64_t weight = host_weight(core, service, state);
 
 	/* load <= flows / all weights * weight * (1 + margin) */
-	return (host_load(state) - LOAD_SLACK) * 1000 * sum.weight <=
+	return (host_load(core, state) - LOAD_SLACK) * 1000 * sum.weight <=
 	       sum.flows * weight * permille;
 }
 
@@ -55,8 +62,8 @@
 
 		if (weight == 0)
 			continue;
-		if (!best ||
-		    host_load(state) * best_weight < host_load(best) * weight) {
+		if (!best || host_load(core, state) * best_weight <
+				     host_load(core, best) * weight) {
 			best = state;
 			best_weight = weight;
 		}
@@ -73,7 +80,8 @@
 
 	if (weight == 0 || sum->weight == 0)
 		return 0;
-	return MAX(sum->flows * weight / sum->weight - host_load(state), 0);
+	return MAX(sum->flows * weight / sum->weight - host_load(core, state),
+		   0);
 }
 
 /*
--- a/core/coordinator.c
+++ b/core/coordinator.c
@@ -81,7 +81,8 @@
 			flags = service->buckets[i % service->bucket_count]
 					.flags;
 		draft->open[i] = draft->base[i] != draft->target[i] ||
-				 bucket_is_permanent(service, i);
+				 bucket_is_permanent(service, i) ||
+				 service->is_rebalancing;
 		if (draft->open[i] || !(flags & BUCKET_OPEN))
 			continue;
 		if (is_closing)
@@ -369,6 +370,8 @@
 	if (service->host_count == 0)
 		return;
 	hash = weights_hash(core, service);
+	if (rebalance_review(core, service))
+		service->is_changed = true;
 	is_forced = service->is_changed || service->bucket_count == 0 ||
 		    service->address_revision > service->version.revision ||
 		    (service->is_committed && service->is_vetoed) ||
--- a/core/decide.c
+++ b/core/decide.c
@@ -21,6 +21,7 @@
 		recent_filter_add(core->syns, decision->hash);
 		recent_filter_remove(core->ends, decision->hash);
 		load_count(core, state, 1);
+		decision->service->new_flows++;
 	} else if (decision->kind == PACKET_END &&
 		   !recent_filter_has(core->ends, decision->hash)) {
 		recent_filter_add(core->ends, decision->hash);
--- a/core/hosts.c
+++ b/core/hosts.c
@@ -185,6 +185,7 @@
 			       index < core->load_cursor + LOAD_ROTATION;
 		struct host_load load = { state->id, state->own };
 
+		state->placed = 0;
 		if (!is_turn && !load_is_due(state))
 			continue;
 		state->announced = state->own;
--- a/core/owner.c
+++ b/core/owner.c
@@ -137,6 +137,7 @@
 	entry->seen_ds = core_now_ds(core);
 	record_replicate(core, entry, 0);
 	core->counters.exceptions_placed++;
+	state->placed++;
 	decision_forward(core, decision, state, CORE_REASON_OWNER_PLACED);
 }
 
--- a/include/core/core_state.h
+++ b/include/core/core_state.h
@@ -42,6 +42,7 @@
 	uint32_t service_id;
 	const struct host *host; /* NULL if not published */
 	int64_t total; /* open flows summed over members */
+	int64_t placed; /* off base by this member since its last report */
 	int32_t own; /* counted by this member */
 	int32_t announced;
 	bool is_silent;
@@ -94,6 +95,9 @@
 	int64_t resend_interval_ns;
 	int64_t closing_at_ns;
 	int64_t closing_interval_ns;
+	bool is_rebalancing; /* all buckets are open, for a host to catch up */
+	int64_t review_at_ns;
+	uint64_t new_flows; /* first seen here since the last review */
 	/* Host weights of the present configuration, rebuilt on a change. */
 	struct host_entry **hosts;
 	size_t host_count;
@@ -300,6 +304,10 @@
 void map_send(struct core *core, const struct service_state *service,
 	      uint64_t member_id);
 
+/* rebalance.c */
+/** True if the service has to open all its buckets now. */
+bool rebalance_review(struct core *core, struct service_state *service);
+
 /* map_messages.c */
 void map_handle(struct core *core, uint64_t sender_id,
 		const struct core_message *message);
--- a/tests/core/test_core.c
+++ b/tests/core/test_core.c
@@ -254,6 +254,50 @@
 }
 END_TEST
 
+static int64_t host_flows(const char *name)
+{
+	const struct core *core = cluster.members[0].core;
+	const struct service_state *state =
+		service_state_find(core, core->configuration->services[0].id);
+
+	for (size_t i = 0; i < state->host_count; i++) {
+		if (g_strcmp0(state->hosts[i]->host->name, name) == 0)
+			return state->hosts[i]->total;
+	}
+	return 0;
+}
+
+static const struct rebalance_case {
+	enum spread_policy spread;
+	bool fills; /* whether new flows go to a host far below its share */
+} rebalance_cases[] = {
+	{ SPREAD_EVEN_LOAD, true },
+	{ SPREAD_FEWEST_MOVES, false },
+};
+
+/* Without the opening, a new host gets the new flows of its own buckets. */
+START_TEST(new_host_is_filled_if_load_is_to_be_even) {
+	const struct rebalance_case *row = &rebalance_cases[_i];
+
+	start(3, row->spread, CORE_RULES_ALL, 10000);
+	service->profile.even_load_margin_permille = 10;
+	publish(3);
+	ck_assert(cluster_settle(&cluster, 10 * NS_PER_S));
+	for (uint32_t i = 0; i < 30; i++)
+		packets_send(i % 3, 1 + i * 100, 100, TCP_FLAG_SYN);
+	service->hosts[service->host_count++].number = 9;
+	publish(3);
+	cluster_run(&cluster, 10 * NS_PER_S);
+	packets_send(0, 4000, 200, TCP_FLAG_SYN);
+	cluster_run(&cluster, 3 * NS_PER_S);
+	if (row->fills)
+		ck_assert_int_ge(host_flows("h9"), 150);
+	else
+		ck_assert_int_le(host_flows("h9"), 80);
+	finish();
+}
+END_TEST
+
 START_TEST(dead_members_load_is_dropped) {
 	const struct core *core;
 	int64_t total = 0;
@@ -362,6 +406,8 @@
 	tcase_add_test(tests, full_table_places_on_base_or_refuses);
 	tcase_add_test(tests, no_accepting_host_refuses);
 	tcase_add_test(tests, limit_is_shared_by_active_members);
+	tcase_add_loop_test(tests, new_host_is_filled_if_load_is_to_be_even, 0,
+			    2);
 	tcase_add_test(tests, dead_members_load_is_dropped);
 	tcase_add_test(
 		tests,
