Keep the records of a failed owner until the new owner has them

That replica then received the incomplete copy of the deciding member, took its own copy for superseded and answered the new owner's pull without records. Change: only a copy from the owner itself ends the state of an orphan.

--- a/core/records.c
+++ b/core/records.c
@@ -97,7 +97,8 @@
 	       !(entry->flags & FLOW_ENTRY_UNCONFIRMED);
 }
 
-static void state_apply(struct core *core, const struct stream_message *message)
+static void state_apply(struct core *core, uint64_t sender_id,
+			const struct stream_message *message)
 {
 	struct shard_set refreshed = { 0 };
 
@@ -109,7 +110,12 @@
 		if (!shard->is_complete && core->view && !core->is_self_active)
 			shard_set_add(&refreshed, i);
 		shard->is_complete = true;
-		shard->is_orphan = false;
+		/*
+		 * A copy that decides in place of a failed owner may lack a
+		 * record that this member has.
+		 */
+		if (shard->owner_id == sender_id)
+			shard->is_orphan = false;
 	}
 	/* What the owner did not send has ended during the pause. */
 	if (!shard_set_is_empty(&refreshed))
@@ -136,7 +142,7 @@
 			&g_array_index(message->records, struct flow_record, i),
 			is_state);
 	if (is_state)
-		state_apply(core, message);
+		state_apply(core, sender_id, message);
 	else if (message->kind == CORE_MESSAGE_SHARD_RELEASE)
 		release_apply(core, sender_id, message);
 }
