--- a/tests/core/test_explorer.c
+++ b/tests/core/test_explorer.c
@@ -27,7 +27,7 @@
 	{ 12, EXPLORE_CALM }, { 6, EXPLORE_PAUSE },	 { 39, EXPLORE_PAUSE },
 	{ 2, EXPLORE_KILL },  { 31, EXPLORE_PARTITION }, { 5, EXPLORE_ALL },
 	{ 10, EXPLORE_ALL },  { 11, EXPLORE_ALL },	 { 14, EXPLORE_ALL },
-	{ 20, EXPLORE_ALL },  { 27, EXPLORE_ALL },
+	{ 20, EXPLORE_ALL },  { 27, EXPLORE_ALL },	 { 397, EXPLORE_ALL },
 };
 
 /* Rules that random runs protect; the others have tests of their own. */
