Count actions and reasons once, in the core

The forwarder counted each action and reason a second time, next to the same counters of the core, for each packet. Ruled out: dropping the core's, which also serve its tests and benchmarks.

--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -166,9 +166,10 @@
 
 /*
  * Packets that waited in the sockets during a pause are old: callers have
- * repeated them, and an old SYN could open a second backend server.
+ * repeated them, and an old SYN could open a second backend server. Returns
+ * false while packets have to be dropped.
  */
-static bool is_awake(struct balancer *balancer)
+static bool pause_check(struct balancer *balancer)
 {
 	int64_t now_ns = clock_now_ns(balancer->clock);
 
@@ -181,7 +182,7 @@
 static bool batch_begin(void *context)
 {
 	struct balancer *balancer = context;
-	bool may_forward = is_awake(balancer);
+	bool may_forward = pause_check(balancer);
 
 	membership_tick(peering_membership(balancer->peering));
 	return may_forward;
@@ -229,7 +230,7 @@
 	struct balancer *balancer = context;
 	struct membership *membership = peering_membership(balancer->peering);
 
-	is_awake(balancer);
+	pause_check(balancer);
 	membership_tick(membership);
 	core_tick(balancer->core);
 	revision_sync_tick(balancer->revision_sync);
--- a/parsleyladder/forwarder.c
+++ b/parsleyladder/forwarder.c
@@ -45,12 +45,8 @@
 	bool is_in_batch;
 	bool is_batch_dropped;
 	uint64_t outcomes[PACKET_OUTCOMES];
-	uint64_t actions[CORE_ACTIONS];
-	uint64_t reasons[CORE_REASONS];
 	uint64_t faults[FORWARDER_FAULTS];
 	const char *outcome_names[PACKET_OUTCOMES];
-	const char *action_names[CORE_ACTIONS];
-	const char *reason_names[CORE_REASONS];
 	struct counter_registry *counters;
 };
 
@@ -149,8 +145,6 @@
 		return;
 	core_handle_packet(forwarder->options.core, &facts, hops, sender_id,
 			   &action);
-	forwarder->actions[action.kind]++;
-	forwarder->reasons[action.reason]++;
 	switch (action.kind) {
 	case CORE_FORWARD:
 		packet_forward(forwarder, action.host, data, length);
@@ -234,18 +228,10 @@
 
 	for (int i = 0; i < PACKET_OUTCOMES; i++)
 		forwarder->outcome_names[i] = packet_outcome_name(i);
-	for (int i = 0; i < CORE_ACTIONS; i++)
-		forwarder->action_names[i] = core_action_name(i);
-	for (int i = 0; i < CORE_REASONS; i++)
-		forwarder->reason_names[i] = core_reason_name(i);
 	edge_register(counters, "data", forwarder->data_edge);
 	edge_register(counters, "pass", forwarder->pass_edge);
 	counter_registry_add(counters, "outcomes", forwarder->outcome_names,
 			     forwarder->outcomes, PACKET_OUTCOMES);
-	counter_registry_add(counters, "actions", forwarder->action_names,
-			     forwarder->actions, CORE_ACTIONS);
-	counter_registry_add(counters, "reasons", forwarder->reason_names,
-			     forwarder->reasons, CORE_REASONS);
 	counter_registry_add(counters, "faults", fault_names, forwarder->faults,
 			     FORWARDER_FAULTS);
 }
--- a/standins/scenario/figures_fleet.c
+++ b/standins/scenario/figures_fleet.c
@@ -204,7 +204,7 @@
 			    (end->cpu_s - begin->cpu_s) * 100 * G_USEC_PER_SEC /
 				    (double)(end->time_us - begin->time_us));
 		passed_on += balancer_growth(from, to, i + 1,
-					     "forwarder_actions_pass_on");
+					     "core_actions_pass_on");
 		packets += balancer_growth(from, to, i + 1,
 					   "forwarder_data_received");
 	}
