Record decision times and the delay of routes

The state dump printed the followed balancer as a number that no operator can compare with an address.

Ruled out: a time of publication from the store; the platform tells none. The delay is counted from the last confirmation of the routes before, which is an upper bound, and the first routes have none.

Change: decision_ns and routes_delay_ms on the metrics address, delay_ms in routes_applied, the leader as an address.

Before: no such metrics. After: test "token balancer" sees one decision of at least the 3 us by which its clock moves, and a delay of 700 ms.

--- a/include/packet/packet.h
+++ b/include/packet/packet.h
@@ -81,6 +81,9 @@
 /** Writes the text form into @text of IP_ADDRESS_TEXT_BYTES; returns @text. */
 const char *ip_address_print(const struct ip_address *address, char *text);
 bool ip_address_is_v4(const struct ip_address *address);
+/** The IPv4 address as a number in host byte order; is_v4 must hold. */
+uint32_t ip_address_v4(const struct ip_address *address);
+void ip_address_from_v4(uint32_t number, struct ip_address *address);
 bool ip_address_equal(const struct ip_address *a, const struct ip_address *b);
 
 /** Hash of a flow, the same on each instance that uses the same @seed. */
--- a/include/parsleyladder/token_forwarder.h
+++ b/include/parsleyladder/token_forwarder.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/clock.h"
 #include "common/counters.h"
 #include "common/error.h"
 #include "configuration/token_settings.h"
@@ -18,6 +19,7 @@
 
 struct token_forwarder_options {
 	const struct token_settings *settings;
+	const struct clock *clock;
 	struct steering *steering;
 	/** False if the packets of this batch waited through a pause. */
 	bool (*on_batch_begin)(void *context);
--- a/include/sharing/sharing.h
+++ b/include/sharing/sharing.h
@@ -86,6 +86,9 @@
 void sharing_push(struct sharing *sharing);
 /** The process was paused: what is known is as old as the pause. */
 void sharing_wake(struct sharing *sharing);
+/** Text of a balancer's address, "none" for 0. */
+const char *sharing_address_print(uint32_t address,
+				  char text[IP_ADDRESS_TEXT_BYTES]);
 bool sharing_is_reading(const struct sharing *sharing);
 /** Time from a poll to its answer, in microseconds. */
 const struct histogram *sharing_answer_times(const struct sharing *sharing);
--- a/packet/address.c
+++ b/packet/address.c
@@ -18,6 +18,24 @@
 		      sizeof(v4_mapped_prefix)) == 0;
 }
 
+uint32_t ip_address_v4(const struct ip_address *address)
+{
+	uint32_t number;
+
+	memcpy(&number, address->bytes + sizeof(v4_mapped_prefix),
+	       sizeof(number));
+	return be32toh(number);
+}
+
+void ip_address_from_v4(uint32_t number, struct ip_address *address)
+{
+	uint32_t bytes = htobe32(number);
+
+	memcpy(address->bytes, v4_mapped_prefix, sizeof(v4_mapped_prefix));
+	memcpy(address->bytes + sizeof(v4_mapped_prefix), &bytes,
+	       sizeof(bytes));
+}
+
 bool ip_address_equal(const struct ip_address *a, const struct ip_address *b)
 {
 	return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -1,11 +1,5 @@
 #include "balancer_private.h"
-
-static void string_add(JsonBuilder *builder, const char *name,
-		       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
+#include "common/json_member.h"
 
 static const char *host_state_name(enum host_state state)
 {
@@ -20,9 +14,10 @@
 		const struct host *host = &service->hosts[i];
 
 		json_builder_begin_object(builder);
-		string_add(builder, "name", host->name);
-		string_add(builder, "availability_zone", host->zone);
-		string_add(builder, "state", host_state_name(host->state));
+		json_member_string(builder, "name", host->name);
+		json_member_string(builder, "availability_zone", host->zone);
+		json_member_string(builder, "state",
+				   host_state_name(host->state));
 		json_builder_set_member_name(builder, "id");
 		json_builder_add_int_value(builder, host->id);
 		json_builder_end_object(builder);
@@ -43,9 +38,9 @@
 		return error_set(error, ERROR_NOT_FOUND, "no service '%s'",
 				 name);
 	json_builder_begin_object(builder);
-	string_add(builder, "name", service->name);
-	string_add(builder, "team", service->team);
-	string_add(builder, "profile", service->profile->name);
+	json_member_string(builder, "name", service->name);
+	json_member_string(builder, "team", service->team);
+	json_member_string(builder, "profile", service->profile->name);
 	json_builder_set_member_name(builder, "revision");
 	json_builder_add_int_value(builder,
 				   (gint64)balancer->configuration->revision);
@@ -63,16 +58,16 @@
 	(void)error;
 	core_explain(balancer->core, key, &action);
 	json_builder_begin_object(builder);
-	string_add(builder, "action", core_action_name(action.kind));
-	string_add(builder, "rule", core_reason_name(action.reason));
+	json_member_string(builder, "action", core_action_name(action.kind));
+	json_member_string(builder, "rule", core_reason_name(action.reason));
 	if (action.service)
-		string_add(builder, "service", action.service->name);
+		json_member_string(builder, "service", action.service->name);
 	if (action.kind == CORE_FORWARD && action.host)
-		string_add(builder, "host", action.host->name);
+		json_member_string(builder, "host", action.host->name);
 	if (action.kind == CORE_PASS_ON)
-		string_add(builder, "instance",
-			   peering_member_name(balancer->peering,
-					       action.member_id));
+		json_member_string(builder, "instance",
+				   peering_member_name(balancer->peering,
+						       action.member_id));
 	json_builder_end_object(builder);
 	return true;
 }
--- a/parsleyladder/balancer_state.c
+++ b/parsleyladder/balancer_state.c
@@ -1,22 +1,5 @@
 #include "balancer_private.h"
-
-static void text_add(JsonBuilder *builder, const char *name, const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
-static void number_add(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
-}
-
-static void flag_add(JsonBuilder *builder, const char *name, bool value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_boolean_value(builder, value);
-}
+#include "common/json_member.h"
 
 static void revision_add(const struct balancer *balancer, JsonBuilder *builder)
 {
@@ -25,19 +8,21 @@
 
 	json_builder_set_member_name(builder, "revision");
 	json_builder_begin_object(builder);
-	number_add(builder, "number",
-		   balancer->configuration
-			   ? (int64_t)balancer->configuration->revision
-			   : 0);
-	text_add(builder, "source", balancer->revision_source);
-	number_add(builder, "age_ms",
-		   balancer->configuration ? age_ns / NS_PER_MS : 0);
-	number_add(builder, "stale_ignored",
-		   (int64_t)balancer->stale_revisions);
-	number_add(builder, "refused", (int64_t)balancer->refused_revisions);
-	number_add(builder, "last_refused",
-		   (int64_t)balancer->refused_revision);
-	text_add(builder, "last_refused_reason", balancer->refused_reason);
+	json_member_integer(builder, "number",
+			    balancer->configuration
+				    ? (int64_t)balancer->configuration->revision
+				    : 0);
+	json_member_string(builder, "source", balancer->revision_source);
+	json_member_integer(builder, "age_ms",
+			    balancer->configuration ? age_ns / NS_PER_MS : 0);
+	json_member_integer(builder, "stale_ignored",
+			    (int64_t)balancer->stale_revisions);
+	json_member_integer(builder, "refused",
+			    (int64_t)balancer->refused_revisions);
+	json_member_integer(builder, "last_refused",
+			    (int64_t)balancer->refused_revision);
+	json_member_string(builder, "last_refused_reason",
+			   balancer->refused_reason);
 	json_builder_end_object(builder);
 }
 
@@ -46,11 +31,13 @@
 	struct balancer *balancer = context;
 
 	json_builder_begin_object(builder);
-	text_add(builder, "instance", balancer->settings->instance_id);
-	text_add(builder, "availability_zone", balancer->settings->zone);
-	text_add(builder, "version", PARSLEYLADDER_VERSION);
-	flag_add(builder, "active", balancer->is_active);
-	flag_add(builder, "leaving", balancer->is_leaving);
+	json_member_string(builder, "instance",
+			   balancer->settings->instance_id);
+	json_member_string(builder, "availability_zone",
+			   balancer->settings->zone);
+	json_member_string(builder, "version", PARSLEYLADDER_VERSION);
+	json_member_boolean(builder, "active", balancer->is_active);
+	json_member_boolean(builder, "leaving", balancer->is_leaving);
 	revision_add(balancer, builder);
 	json_builder_set_member_name(builder, "forwarder");
 	json_builder_begin_object(builder);
--- a/parsleyladder/token_admin.c
+++ b/parsleyladder/token_admin.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 
 #include "common/endpoint.h"
+#include "common/json_member.h"
 #include "common/log.h"
 #include "token_balancer_private.h"
 
@@ -52,25 +53,6 @@
 	totals[TOTAL_EVICTIONS] = steering_eviction_count(balancer->steering);
 }
 
-static void string_add(JsonBuilder *builder, const char *name,
-		       const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
-static void integer_add(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
-}
-
-static void boolean_add(JsonBuilder *builder, const char *name, bool value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_boolean_value(builder, value);
-}
-
 static void host_print(const struct token_balancer *balancer,
 		       const struct known_host *host, JsonBuilder *builder)
 {
@@ -79,27 +61,28 @@
 	char token[9];
 
 	json_builder_begin_object(builder);
-	string_add(builder, "id", published->id);
+	json_member_string(builder, "id", published->id);
 	g_snprintf(token, sizeof(token), "%08x", host->token);
-	string_add(builder, "token", token);
-	string_add(builder, "service", published->service);
-	string_add(builder, "availability_zone", published->zone);
-	string_add(builder, "address",
-		   ip_address_print(&published->address, text));
-	integer_add(builder, "port", published->port);
-	string_add(builder, "state",
-		   host->is_gone	    ? "gone"
-		   : published->is_draining ? "draining"
-					    : "ready");
-	integer_add(builder, "slots", published->slots);
-	integer_add(builder, "born_ms", (int64_t)published->born_ms);
-	integer_add(builder, "revision", (int64_t)published->revision);
-	integer_add(builder, "open_flows", host->open_flows);
-	integer_add(builder, "peer_flows", host->peer_flows);
-	boolean_add(builder, "is_silent", evidence_is_silent(&host->evidence));
-	integer_add(builder, "misses", host->evidence.misses);
-	integer_add(builder, "progress_age_ms",
-		    age_ms(balancer, host->evidence.progress_ns));
+	json_member_string(builder, "token", token);
+	json_member_string(builder, "service", published->service);
+	json_member_string(builder, "availability_zone", published->zone);
+	json_member_string(builder, "address",
+			   ip_address_print(&published->address, text));
+	json_member_integer(builder, "port", published->port);
+	json_member_string(builder, "state",
+			   host->is_gone	    ? "gone"
+			   : published->is_draining ? "draining"
+						    : "ready");
+	json_member_integer(builder, "slots", published->slots);
+	json_member_integer(builder, "born_ms", (int64_t)published->born_ms);
+	json_member_integer(builder, "revision", (int64_t)published->revision);
+	json_member_integer(builder, "open_flows", host->open_flows);
+	json_member_integer(builder, "peer_flows", host->peer_flows);
+	json_member_boolean(builder, "is_silent",
+			    evidence_is_silent(&host->evidence));
+	json_member_integer(builder, "misses", host->evidence.misses);
+	json_member_integer(builder, "progress_age_ms",
+			    age_ms(balancer, host->evidence.progress_ns));
 	json_builder_end_object(builder);
 }
 
@@ -126,17 +109,17 @@
 
 	json_builder_set_member_name(builder, "knowledge");
 	json_builder_begin_object(builder);
-	string_add(builder, "source", knowledge->source);
-	boolean_add(builder, "is_complete", knowledge->is_complete);
-	integer_add(builder, "revision", (int64_t)knowledge->revision);
-	integer_add(builder, "age_ms",
-		    age_ms(balancer, knowledge->confirmed_ns));
-	integer_add(builder, "store_away_ms",
-		    age_ms(balancer, balancer->unreachable_since_ns));
-	integer_add(builder, "routes_version",
-		    routing ? (int64_t)routing->version : 0);
-	integer_add(builder, "routes",
-		    routing ? (int64_t)routing->rule_count : 0);
+	json_member_string(builder, "source", knowledge->source);
+	json_member_boolean(builder, "is_complete", knowledge->is_complete);
+	json_member_integer(builder, "revision", (int64_t)knowledge->revision);
+	json_member_integer(builder, "age_ms",
+			    age_ms(balancer, knowledge->confirmed_ns));
+	json_member_integer(builder, "store_away_ms",
+			    age_ms(balancer, balancer->unreachable_since_ns));
+	json_member_integer(builder, "routes_version",
+			    routing ? (int64_t)routing->version : 0);
+	json_member_integer(builder, "routes",
+			    routing ? (int64_t)routing->rule_count : 0);
 	json_builder_end_object(builder);
 }
 
@@ -155,12 +138,14 @@
 
 	values_take(balancer);
 	json_builder_begin_object(builder);
-	string_add(builder, "instance_id", balancer->settings->instance_id);
-	string_add(builder, "availability_zone", balancer->settings->zone);
-	boolean_add(builder, "is_ready", balancer->is_ready);
-	boolean_add(builder, "is_leaving", balancer->is_leaving);
-	boolean_add(builder, "is_isolated",
-		    steering_is_isolated(balancer->steering));
+	json_member_string(builder, "instance_id",
+			   balancer->settings->instance_id);
+	json_member_string(builder, "availability_zone",
+			   balancer->settings->zone);
+	json_member_boolean(builder, "is_ready", balancer->is_ready);
+	json_member_boolean(builder, "is_leaving", balancer->is_leaving);
+	json_member_boolean(builder, "is_isolated",
+			    steering_is_isolated(balancer->steering));
 	knowledge_print(balancer, builder);
 	json_builder_set_member_name(builder, "sharing");
 	members_print(balancer, builder);
@@ -182,12 +167,12 @@
 
 	(void)error;
 	json_builder_begin_object(builder);
-	string_add(builder, "rule", steering_reason_names[reason]);
-	boolean_add(builder, "is_known", flow != NULL);
+	json_member_string(builder, "rule", steering_reason_names[reason]);
+	json_member_boolean(builder, "is_known", flow != NULL);
 	if (flow) {
-		integer_add(builder, "repeats", flow->repeats);
-		integer_add(builder, "packet_age_ms",
-			    age_ms(balancer, flow->last_packet_ns));
+		json_member_integer(builder, "repeats", flow->repeats);
+		json_member_integer(builder, "packet_age_ms",
+				    age_ms(balancer, flow->last_packet_ns));
 	}
 	if (flow && flow->host) {
 		json_builder_set_member_name(builder, "host");
@@ -240,6 +225,8 @@
 				       sharing_answer_times(balancer->sharing));
 	counter_registry_add_histogram(counters, "host_age_ms",
 				       &balancer->host_age_ms);
+	counter_registry_add_histogram(counters, "routes_delay_ms",
+				       &balancer->routes_delay_ms);
 }
 
 bool token_balancer_admin_open(struct token_balancer *balancer,
--- a/parsleyladder/token_balancer.c
+++ b/parsleyladder/token_balancer.c
@@ -68,6 +68,22 @@
 	return true;
 }
 
+/*
+ * The platform does not tell when routes were published; it was after the
+ * routes before them were last confirmed to be current. -1 for the first ones.
+ */
+static int64_t routes_delay_ms(struct token_balancer *balancer)
+{
+	int64_t confirmed_ns = balancer->knowledge.confirmed_ns;
+	int64_t delay_ms;
+
+	if (confirmed_ns == 0)
+		return -1;
+	delay_ms = (clock_now_ns(balancer->clock) - confirmed_ns) / NS_PER_MS;
+	histogram_record(&balancer->routes_delay_ms, (uint64_t)delay_ms);
+	return delay_ms;
+}
+
 void token_balancer_routing_apply(struct token_balancer *balancer,
 				  struct routing *routing)
 {
@@ -75,10 +91,10 @@
 		return;
 	log_event(LOG_LEVEL_INFO, "routes_applied",
 		  "version=%" PRIu64 " routes=%zu idle_timeout_ms=%u "
-		  "revision=%" PRIu64 " source=%s",
+		  "revision=%" PRIu64 " source=%s delay_ms=%" PRId64,
 		  routing->version, routing->rule_count,
 		  routing->idle_timeout_ms, balancer->knowledge.revision,
-		  balancer->knowledge.source);
+		  balancer->knowledge.source, routes_delay_ms(balancer));
 }
 
 static void store_item_apply(void *context, const struct store_item *item)
@@ -314,6 +330,7 @@
 {
 	const struct token_forwarder_options options = {
 		.settings = balancer->settings,
+		.clock = balancer->clock,
 		.steering = balancer->steering,
 		.on_batch_begin = pause_check,
 		.on_decision = flow_log_decision,
--- a/parsleyladder/token_balancer_private.h
+++ b/parsleyladder/token_balancer_private.h
@@ -78,6 +78,8 @@
 	uint64_t gauges[TOKEN_GAUGES];
 	uint64_t totals[TOKEN_TOTALS];
 	struct histogram host_age_ms; /* of what is published, at placements */
+	/* Upper bound of the time from their publication to force. */
+	struct histogram routes_delay_ms;
 	struct flow_log flow_log;
 	struct sharing *sharing;
 	struct edge *sharing_edge; /* datagrams of other balancers */
--- a/parsleyladder/token_forwarder.c
+++ b/parsleyladder/token_forwarder.c
@@ -31,6 +31,7 @@
 	bool is_batch_dropped;
 	uint64_t faults[TOKEN_FAULTS];
 	uint64_t verdicts[STEERING_VERDICTS];
+	struct histogram decision_ns;
 };
 
 static const char *const verdict_names[STEERING_VERDICTS] = {
@@ -91,6 +92,19 @@
 	return !forwarder->is_batch_dropped;
 }
 
+static void packet_decide(struct token_forwarder *forwarder,
+			  const struct token_packet *packet,
+			  struct steering_decision *decision)
+{
+	const struct clock *clock = forwarder->options.clock;
+	int64_t start_ns = clock_now_ns(clock);
+
+	steering_handle_packet(forwarder->options.steering, packet, decision);
+	histogram_record(&forwarder->decision_ns,
+			 (uint64_t)(clock_now_ns(clock) - start_ns));
+	forwarder->verdicts[decision->verdict]++;
+}
+
 static void datagram_handle(void *context, uint8_t *data, size_t length,
 			    const struct sockaddr_storage *source)
 {
@@ -107,8 +121,7 @@
 		forwarder->faults[FAULT_MALFORMED]++;
 		return;
 	}
-	steering_handle_packet(forwarder->options.steering, &packet, &decision);
-	forwarder->verdicts[decision.verdict]++;
+	packet_decide(forwarder, &packet, &decision);
 	if (decision.verdict == STEERING_FORWARD)
 		packet_forward(forwarder, data, length, decision.host);
 	else if (decision.verdict == STEERING_RESET)
@@ -174,4 +187,6 @@
 			     TOKEN_FAULTS);
 	counter_registry_add(counters, "verdicts", verdict_names,
 			     forwarder->verdicts, STEERING_VERDICTS);
+	counter_registry_add_histogram(counters, "decision_ns",
+				       &forwarder->decision_ns);
 }
--- a/parsleyladder/token_sharing.c
+++ b/parsleyladder/token_sharing.c
@@ -1,5 +1,4 @@
 #include <inttypes.h>
-#include <string.h>
 
 #include "common/endpoint.h"
 #include "common/log.h"
@@ -7,32 +6,6 @@
 
 #define RECEIVE_BUFFER_BYTES (256 * 1024)
 
-/* The last four bytes of an IPv4-mapped address, host byte order. */
-static uint32_t v4_number(const struct ip_address *address)
-{
-	const uint8_t *bytes = address->bytes + 12;
-
-	return (uint32_t)bytes[0] << 24 | (uint32_t)bytes[1] << 16 |
-	       (uint32_t)bytes[2] << 8 | bytes[3];
-}
-
-static void v4_from_number(uint32_t number, struct ip_address *address)
-{
-	memset(address->bytes, 0, 10);
-	memset(address->bytes + 10, 0xff, 2);
-	for (int i = 0; i < 4; i++)
-		address->bytes[12 + i] = (uint8_t)(number >> (24 - 8 * i));
-}
-
-static const char *number_print(uint32_t number,
-				char text[IP_ADDRESS_TEXT_BYTES])
-{
-	struct ip_address address;
-
-	v4_from_number(number, &address);
-	return number == 0 ? "none" : ip_address_print(&address, text);
-}
-
 static uint32_t endpoint_number(const char *text)
 {
 	struct endpoint endpoint;
@@ -42,7 +15,7 @@
 	    !ip_address_parse(endpoint.address, &address) ||
 	    !ip_address_is_v4(&address))
 		return 0;
-	return v4_number(&address);
+	return ip_address_v4(&address);
 }
 
 static void datagram_send(void *context, uint32_t address, const uint8_t *data,
@@ -53,7 +26,7 @@
 	struct ip_address target;
 	socklen_t bytes;
 
-	v4_from_number(address, &target);
+	ip_address_from_v4(address, &target);
 	bytes = edge_destination(balancer->sharing_edge, &target,
 				 balancer->settings->sharing_port,
 				 &destination);
@@ -77,8 +50,8 @@
 				  "port=%u bytes=%zu", port, length);
 		return;
 	}
-	sharing_handle_datagram(balancer->sharing, v4_number(&address), data,
-				length);
+	sharing_handle_datagram(balancer->sharing, ip_address_v4(&address),
+				data, length);
 }
 
 static void routing_taken(void *context, struct routing *routing)
@@ -108,7 +81,7 @@
 
 	log_event(LOG_LEVEL_INFO, "leader_changed",
 		  "leader=%s reason=%s revision=%" PRIu64,
-		  number_print(leader, text), reason,
+		  sharing_address_print(leader, text), reason,
 		  balancer->knowledge.revision);
 }
 
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "common/json_member.h"
+
 /* Greetings until somebody answers, and afterwards. */
 #define GREET_FIRST_NS (300 * NS_PER_MS)
 #define GREET_INTERVAL_NS (1 * NS_PER_S)
@@ -58,8 +60,6 @@
 
 void sharing_destroy(struct sharing *sharing)
 {
-	if (!sharing)
-		return;
 	if (!sharing)
 		return;
 	members_destroy(sharing->members);
@@ -351,21 +351,30 @@
 	return sharing->counters;
 }
 
-static void integer_add(JsonBuilder *builder, const char *name, int64_t value)
+const char *sharing_address_print(uint32_t address,
+				  char text[IP_ADDRESS_TEXT_BYTES])
 {
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
+	struct ip_address decoded;
+
+	if (address == 0)
+		return "none";
+	ip_address_from_v4(address, &decoded);
+	return ip_address_print(&decoded, text);
 }
 
 void sharing_print_json(const struct sharing *sharing, JsonBuilder *builder)
 {
-	integer_add(builder, "members", members_count(sharing->members));
-	integer_add(builder, "followers",
-		    g_hash_table_size(sharing->followers));
-	integer_add(builder, "leader", sharing->leader);
+	char leader[IP_ADDRESS_TEXT_BYTES];
+
+	json_member_integer(builder, "members",
+			    members_count(sharing->members));
+	json_member_integer(builder, "followers",
+			    g_hash_table_size(sharing->followers));
+	json_member_string(builder, "leader",
+			   sharing_address_print(sharing->leader, leader));
 	json_builder_set_member_name(builder, "is_reading");
 	json_builder_add_boolean_value(builder, sharing->is_reading);
 	for (int i = 0; i < SHARING_COUNTERS; i++)
-		integer_add(builder, sharing_counter_names[i],
-			    (int64_t)sharing->counters[i]);
+		json_member_integer(builder, sharing_counter_names[i],
+				    (int64_t)sharing->counters[i]);
 }
--- a/standins/world/segment.c
+++ b/standins/world/segment.c
@@ -31,7 +31,7 @@
 	return (uint32_t)hash_words(flow_id, is_server, 1);
 }
 
-static struct ip_address ip_address_from_v4(uint32_t address)
+static struct ip_address loopback_address_make(uint32_t address)
 {
 	struct ip_address result = { .bytes = { [10] = 0xff, [11] = 0xff } };
 
@@ -71,9 +71,9 @@
 		.is_last = segment->is_last,
 	};
 	struct packet_fields fields = {
-		.source =
-			ip_address_from_v4((uint32_t)(segment->flow_id >> 16)),
-		.destination = ip_address_from_v4(segment->service.address),
+		.source = loopback_address_make(
+			(uint32_t)(segment->flow_id >> 16)),
+		.destination = loopback_address_make(segment->service.address),
 		.source_port = (uint16_t)segment->flow_id,
 		.destination_port = segment->service.port,
 		.protocol = segment->service.protocol,
--- a/tests/packet/test_address.c
+++ b/tests/packet/test_address.c
@@ -89,6 +89,16 @@
 }
 END_TEST
 
+START_TEST(v4_number_is_in_host_order) {
+	struct ip_address address;
+	char text[IP_ADDRESS_TEXT_BYTES];
+
+	ip_address_from_v4(0x0a000102, &address);
+	ck_assert_str_eq(ip_address_print(&address, text), "10.0.1.2");
+	ck_assert_uint_eq(ip_address_v4(&address), 0x0a000102);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tests = tcase_create("address");
@@ -99,5 +109,6 @@
 			    SAMPLES);
 	tcase_add_test(tests, hash_depends_on_every_field);
 	tcase_add_test(tests, hash_ignores_padding);
+	tcase_add_test(tests, v4_number_is_in_host_order);
 	return sample_run("address", tests);
 }
--- /dev/null
+++ b/tests/parsleyladder/test_token_balancer.c
@@ -0,0 +1,171 @@
+/*
+ * Guards against metrics that are served but never recorded, and against times
+ * from publication to force that are told too short.
+ */
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform/datagram.h"
+#include "suite.h"
+#include "token_balancer_private.h"
+
+#define DECISION_NS 3000
+#define DEADLINE_US (5 * G_USEC_PER_SEC)
+
+/* A clock that moves by DECISION_NS with each reading. */
+struct stepping_clock {
+	struct clock clock;
+	int64_t now_ns;
+};
+
+static struct stepping_clock stepping;
+static struct token_balancer *balancer;
+static char *settings_path;
+static uint16_t packet_port;
+
+static void stepping_now(void *context, struct timespec *out)
+{
+	struct stepping_clock *clock = context;
+
+	clock->now_ns += DECISION_NS;
+	out->tv_sec = clock->now_ns / NS_PER_S;
+	out->tv_nsec = clock->now_ns % NS_PER_S;
+}
+
+/* A port that was free a moment ago. */
+static uint16_t port_find(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)),
+			 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length),
+			 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void balancer_open(void)
+{
+	struct error error = { 0 };
+	char *text;
+	int fd = g_file_open_tmp("token-balancer-XXXXXX", &settings_path, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	packet_port = port_find();
+	text = g_strdup_printf(
+		"{\"instance_id\":\"entry-1\",\"availability_zone\":\"a\","
+		"\"packet_endpoint\":\"127.0.0.1:%u\","
+		"\"readiness_endpoint\":\"127.0.0.1:%u\","
+		"\"control_endpoint\":\"127.0.0.1:%u\",\"sharing_port\":%u,"
+		"\"store_endpoint\":\"127.0.0.1:1\",\"log_level\":\"error\"}",
+		packet_port, port_find(), port_find(), port_find());
+	ck_assert(g_file_set_contents(settings_path, text, -1, NULL));
+	g_free(text);
+	stepping = (struct stepping_clock){
+		.clock = { .now = stepping_now, .context = &stepping },
+		.now_ns = 1000 * NS_PER_S,
+	};
+	balancer =
+		token_balancer_create(settings_path, &stepping.clock, &error);
+	ck_assert_msg(balancer != NULL, "%s", error.detail);
+	balancer->awake_ns = stepping.now_ns; /* as when the loop starts */
+}
+
+static void balancer_close(void)
+{
+	token_balancer_destroy(balancer);
+	g_remove(settings_path);
+	g_free(settings_path);
+}
+
+/* Value of a line "name value" of the counters; -1 if there is none. */
+static int64_t counter_find(const char *name)
+{
+	GString *text = g_string_new("\n");
+	char *prefix = g_strdup_printf("\n%s ", name);
+	int64_t value = -1;
+	const char *line;
+
+	counter_registry_print_text(balancer->counters, text);
+	line = strstr(text->str, prefix);
+	if (line)
+		value = g_ascii_strtoll(line + strlen(prefix), NULL, 10);
+	g_string_free(text, TRUE);
+	g_free(prefix);
+	return value;
+}
+
+static void packet_send(void)
+{
+	struct sockaddr_in target = {
+		.sin_family = AF_INET,
+		.sin_port = htons(packet_port),
+	};
+	uint8_t packet[DATAGRAM_HEADER_BYTES] = { [18] = 0x04 }; /* SYN */
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(sendto(fd, packet, sizeof(packet), 0,
+				(struct sockaddr *)&target, sizeof(target)),
+			 sizeof(packet));
+	close(fd);
+}
+
+START_TEST(time_of_each_decision_is_recorded) {
+	int64_t deadline_us = g_get_monotonic_time() + DEADLINE_US;
+
+	packet_send();
+	while (counter_find("decision_ns_count") == 0 &&
+	       g_get_monotonic_time() < deadline_us)
+		g_main_context_iteration(NULL, FALSE);
+	ck_assert_int_eq(counter_find("decision_ns_count"), 1);
+	ck_assert_int_ge(counter_find("decision_ns_sum"), DECISION_NS);
+	ck_assert_int_eq(counter_find("decisions_not_ready"), 1);
+}
+END_TEST
+
+static void routes_apply(uint64_t version)
+{
+	struct routing *routing = routing_create(version, 1000, NULL, 0);
+
+	token_balancer_routing_apply(balancer, routing);
+	routing_unref(routing);
+}
+
+START_TEST(routes_delay_counts_from_the_last_confirmation) {
+	/* Of the first routes nobody knows how old they are. */
+	routes_apply(1);
+	ck_assert_int_eq(counter_find("routes_delay_ms_count"), 0);
+	balancer->knowledge.confirmed_ns = stepping.now_ns;
+	stepping.now_ns += 700 * NS_PER_MS;
+	routes_apply(2);
+	ck_assert_int_eq(counter_find("routes_delay_ms_count"), 1);
+	ck_assert_int_eq(counter_find("routes_delay_ms_sum"), 700);
+	/* An older version is no change. */
+	routes_apply(1);
+	ck_assert_int_eq(counter_find("routes_delay_ms_count"), 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("token balancer");
+	TCase *cases = tcase_create("metrics");
+
+	tcase_add_checked_fixture(cases, balancer_open, balancer_close);
+	tcase_add_test(cases, time_of_each_decision_is_recorded);
+	tcase_add_test(cases, routes_delay_counts_from_the_last_confirmation);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -313,6 +313,28 @@
 }
 END_TEST
 
+/* Operators compare the leader with the addresses of instances. */
+START_TEST(leader_is_printed_as_an_address) {
+	JsonBuilder *builder = json_builder_new();
+	const struct node *reader = &network.nodes[0];
+	const char *leader;
+	JsonNode *root;
+
+	json_builder_begin_object(builder);
+	sharing_print_json(reader->sharing, builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	leader = json_object_get_string_member(json_node_get_object(root),
+					       "leader");
+	if (reader->is_reading)
+		ck_assert_str_eq(leader, "none");
+	else
+		ck_assert(g_hostname_is_ip_address(leader));
+	json_node_unref(root);
+	g_object_unref(builder);
+}
+END_TEST
+
 START_TEST(strange_datagrams_change_nothing) {
 	static const uint8_t noise[][5] = {
 		{ 0x95, 1, 4, 0, 0 },
@@ -389,6 +411,7 @@
 	tcase_add_test(cases, restarted_reader_is_not_asked_for_listings);
 	tcase_add_test(cases, lost_datagrams_lose_no_news);
 	tcase_add_test(cases, open_flows_are_added_up);
+	tcase_add_test(cases, leader_is_printed_as_an_address);
 	tcase_add_test(cases, strange_datagrams_change_nothing);
 	suite_add_tcase(suite, cases);
 	tcase_set_timeout(scale, 120);
