Send routes to followers as changes

Cause: each follower fetched all routes after each change: 1,400 routes are about 60 KB, for each follower of a reader, at each of the versions of a storm. A reader with a link of 10 Mbit/s needs longer for 28 followers than the 3 s in which a configuration has to be in force.

Ruled out: compression (a change of one route would still cost thousands of bytes a follower).

A digest of all rules goes with them: a follower that arrives at other routes asks for all of them. The layout of the routes changes, so FORMAT is 2.

Before and after, test changed_routes_cost_their_changes (10 balancers a zone, 1,400 routes, 4 versions): 1,922,979 bytes of the reader in 2 s, now 5,241.

--- a/fuzz/fuzz_sharing_message.c
+++ b/fuzz/fuzz_sharing_message.c
@@ -44,6 +44,6 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
 {
 	message_check(data, length);
-	routing_unref(routing_decode(data, length));
+	routing_unref(routing_decode(data, length, NULL));
 	return 0;
 }
--- a/include/sharing/routing_codec.h
+++ b/include/sharing/routing_codec.h
@@ -2,7 +2,8 @@
 #define PARSLEYLADDER_SHARING_ROUTING_CODEC_H
 
 /**
- * One version of the routes as flat msgpack records, for other balancers.
+ * One version of the routes as flat msgpack records, for other balancers:
+ * complete, or as the changes against an earlier version.
  */
 
 #include <glib.h>
@@ -12,9 +13,18 @@
 /** Largest encoded routes, in bytes. */
 #define ROUTING_BYTES_MAX (4 * 1024 * 1024)
 
-/** The caller frees the result. */
-GByteArray *routing_encode(const struct routing *routing);
-/** Returns NULL if the bytes are no valid routes. */
-struct routing *routing_decode(const uint8_t *data, size_t length);
+/**
+ * Encodes what changes from @base to @routing; all of it if @base is NULL. The
+ * caller frees the result.
+ */
+GByteArray *routing_encode(const struct routing *routing,
+			   const struct routing *base);
+/**
+ * Returns the routes that the bytes make of @base, the ones in force here; NULL
+ * if the bytes are not valid, are changes against another version than that of
+ * @base, or make other routes than those that were encoded. @base may be NULL.
+ */
+struct routing *routing_decode(const uint8_t *data, size_t length,
+			       const struct routing *base);
 
 #endif
--- a/include/steering/routing.h
+++ b/include/steering/routing.h
@@ -38,6 +38,9 @@
 	uint32_t references;
 };
 
+/** Order of the rules of a version: by address and port. */
+int route_rule_compare(const struct route_rule *a, const struct route_rule *b);
+bool route_rule_equal(const struct route_rule *a, const struct route_rule *b);
 /** Takes over @rules, a g_malloc()ed array; the first rule of a pair wins. */
 struct routing *routing_create(uint64_t version, uint32_t idle_timeout_ms,
 			       struct route_rule *rules, size_t rule_count);
--- a/sharing/routing_codec.c
+++ b/sharing/routing_codec.c
@@ -1,28 +1,19 @@
 #include "sharing/routing_codec.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "peer/field_codec.h"
 #include "sharing/byte_codec.h"
 
-/* The first record: version, idle timeout. */
-#define HEAD_FIELDS 2
-/* A rule: address, port, targets. */
+/* The first record: version, idle timeout, version of the base, digest. */
+#define HEAD_FIELDS 4
+/* A rule: address, port, targets; without targets, the rule is removed. */
 #define RULE_FIELDS 3
+#define REMOVAL_FIELDS 2
 /* A target: length of the name, the name, the weight. */
 #define WEIGHT_BYTES 4
 
-static GByteArray *head_encode(const struct routing *routing)
-{
-	GByteArray *bytes = g_byte_array_new();
-	struct field_writer writer;
-
-	field_writer_init(&writer, bytes, HEAD_FIELDS);
-	field_write_uint(&writer, routing->version);
-	field_write_uint(&writer, routing->idle_timeout_ms);
-	return bytes;
-}
-
 static GByteArray *targets_encode(const struct route_rule *rule)
 {
 	GByteArray *bytes = g_byte_array_new();
@@ -39,26 +30,73 @@
 	return bytes;
 }
 
-static GByteArray *rule_encode(const struct route_rule *rule)
+static GByteArray *rule_encode(const struct route_rule *rule, bool is_removed)
 {
 	GByteArray *bytes = g_byte_array_new();
 	struct field_writer writer;
 
-	field_writer_init(&writer, bytes, RULE_FIELDS);
+	field_writer_init(&writer, bytes,
+			  is_removed ? REMOVAL_FIELDS : RULE_FIELDS);
 	field_write_bytes(&writer, rule->address.bytes,
 			  sizeof(rule->address.bytes));
 	field_write_uint(&writer, rule->port);
-	field_write_array(&writer, targets_encode(rule));
+	if (!is_removed)
+		field_write_array(&writer, targets_encode(rule));
 	return bytes;
 }
 
-GByteArray *routing_encode(const struct routing *routing)
+/* Both are sorted, so one walk finds the differences. */
+static void changes_encode(const struct routing *routing,
+			   const struct routing *base, GByteArray *bytes)
+{
+	size_t base_count = base ? base->rule_count : 0;
+	size_t old = 0, new = 0;
+
+	while (old < base_count || new < routing->rule_count) {
+		int order = 1;
+
+		if (new == routing->rule_count)
+			order = -1;
+		else if (old < base_count)
+			order = route_rule_compare(&base->rules[old],
+						   &routing->rules[new]);
+		if (order < 0)
+			record_put(bytes, rule_encode(&base->rules[old], true));
+		else if (order > 0 || !route_rule_equal(&base->rules[old],
+							&routing->rules[new]))
+			record_put(bytes,
+				   rule_encode(&routing->rules[new], false));
+		old += order <= 0;
+		new += order >= 0;
+	}
+}
+
+/* Names the rules; fields of msgpack are bounded to 63 bits. */
+static uint64_t rules_digest(const struct routing *routing)
 {
 	GByteArray *bytes = g_byte_array_new();
+	uint64_t digest;
+
+	changes_encode(routing, NULL, bytes);
+	digest = XXH3_64bits(bytes->data, bytes->len) >> 1;
+	g_byte_array_unref(bytes);
+	return digest;
+}
+
+GByteArray *routing_encode(const struct routing *routing,
+			   const struct routing *base)
+{
+	GByteArray *bytes = g_byte_array_new();
+	GByteArray *head = g_byte_array_new();
+	struct field_writer writer;
 
-	record_put(bytes, head_encode(routing));
-	for (size_t i = 0; i < routing->rule_count; i++)
-		record_put(bytes, rule_encode(&routing->rules[i]));
+	field_writer_init(&writer, head, HEAD_FIELDS);
+	field_write_uint(&writer, routing->version);
+	field_write_uint(&writer, routing->idle_timeout_ms);
+	field_write_uint(&writer, base ? base->version : 0);
+	field_write_uint(&writer, rules_digest(routing));
+	record_put(bytes, head);
+	changes_encode(routing, base, bytes);
 	return bytes;
 }
 
@@ -92,21 +130,30 @@
 	return true;
 }
 
-static bool rule_decode(const uint8_t *data, size_t length,
-			struct route_rule *rule)
+/* A change of one rule. */
+struct rule_change {
+	struct route_rule rule;
+	bool is_removed;
+};
+
+static bool change_decode(const uint8_t *data, size_t length,
+			  struct rule_change *change)
 {
+	struct route_rule *rule = &change->rule;
+	const uint8_t *targets = NULL;
 	struct array_reader reader;
 	const uint8_t *address;
-	const uint8_t *targets;
 	size_t address_bytes;
-	size_t targets_bytes;
+	size_t targets_bytes = 0;
 
-	memset(rule, 0, sizeof(*rule));
+	memset(change, 0, sizeof(*change));
 	if (!array_reader_init(&reader, data, length))
 		return false;
+	change->is_removed = reader.count == REMOVAL_FIELDS;
 	address = field_read_bytes(&reader, &address_bytes);
 	rule->port = (uint16_t)field_read_uint(&reader, UINT16_MAX);
-	targets = field_read_bytes(&reader, &targets_bytes);
+	if (!change->is_removed)
+		targets = field_read_bytes(&reader, &targets_bytes);
 	if (!array_reader_is_done(&reader) ||
 	    address_bytes != sizeof(rule->address.bytes))
 		return false;
@@ -114,48 +161,92 @@
 	return targets_decode(targets, targets_bytes, rule);
 }
 
-static bool rules_decode(const uint8_t *data, const uint8_t *end, GArray *rules)
+/* Appends the rules of @base, from *@next on, that precede @rule. */
+static void rules_copy(const struct routing *base, size_t *next,
+		       const struct route_rule *rule, GArray *rules)
+{
+	while (base && *next < base->rule_count &&
+	       (!rule || route_rule_compare(&base->rules[*next], rule) < 0)) {
+		g_array_append_val(rules, base->rules[*next]);
+		(*next)++;
+	}
+}
+
+static bool changes_apply(const uint8_t *data, const uint8_t *end,
+			  const struct routing *base, GArray *rules)
 {
+	size_t next = 0;
+
 	while (data < end) {
-		struct route_rule rule;
+		struct rule_change change;
 		const uint8_t *record;
 		size_t length;
 
-		if (rules->len == ROUTES_MAX ||
+		if (rules->len >= ROUTES_MAX ||
 		    !record_get(&data, end, &record, &length) ||
-		    !rule_decode(record, length, &rule))
+		    !change_decode(record, length, &change))
 			return false;
-		g_array_append_val(rules, rule);
+		rules_copy(base, &next, &change.rule, rules);
+		if (base && next < base->rule_count &&
+		    route_rule_compare(&base->rules[next], &change.rule) == 0)
+			next++;
+		if (!change.is_removed)
+			g_array_append_val(rules, change.rule);
 	}
-	return true;
+	rules_copy(base, &next, NULL, rules);
+	return rules->len <= ROUTES_MAX;
 }
 
-struct routing *routing_decode(const uint8_t *data, size_t length)
+struct routing_head {
+	uint64_t version;
+	uint32_t idle_timeout_ms;
+	uint64_t base;
+	uint64_t digest;
+};
+
+static bool head_decode(const uint8_t **data, const uint8_t *end,
+			struct routing_head *head)
 {
-	const uint8_t *end = data + length;
 	struct array_reader reader;
 	const uint8_t *record;
-	size_t record_bytes;
-	uint64_t version;
-	uint32_t idle_ms;
+	size_t length;
+
+	if (!record_get(data, end, &record, &length) ||
+	    !array_reader_init(&reader, record, length))
+		return false;
+	head->version = field_read_uint(&reader, G_MAXINT64);
+	head->idle_timeout_ms = (uint32_t)field_read_uint(&reader, UINT32_MAX);
+	head->base = field_read_uint(&reader, G_MAXINT64);
+	head->digest = field_read_uint(&reader, G_MAXINT64);
+	return array_reader_is_done(&reader);
+}
+
+struct routing *routing_decode(const uint8_t *data, size_t length,
+			       const struct routing *base)
+{
+	const uint8_t *end = data + length;
+	struct routing_head head;
+	struct routing *routing;
 	GArray *rules;
 	guint count;
 
-	if (length > ROUTING_BYTES_MAX ||
-	    !record_get(&data, end, &record, &record_bytes) ||
-	    !array_reader_init(&reader, record, record_bytes))
+	if (length > ROUTING_BYTES_MAX || !head_decode(&data, end, &head))
 		return NULL;
-	version = field_read_uint(&reader, G_MAXINT64);
-	idle_ms = (uint32_t)field_read_uint(&reader, UINT32_MAX);
-	if (!array_reader_is_done(&reader))
+	if (head.base == 0)
+		base = NULL;
+	else if (!base || base->version != head.base)
 		return NULL;
 	rules = g_array_new(FALSE, FALSE, sizeof(struct route_rule));
-	if (!rules_decode(data, end, rules)) {
+	if (!changes_apply(data, end, base, rules)) {
 		g_array_unref(rules);
 		return NULL;
 	}
 	count = rules->len;
-	return routing_create(version, idle_ms,
-			      (struct route_rule *)g_array_free(rules, FALSE),
-			      count);
+	routing = routing_create(
+		head.version, head.idle_timeout_ms,
+		(struct route_rule *)g_array_free(rules, FALSE), count);
+	if (rules_digest(routing) == head.digest)
+		return routing;
+	routing_unref(routing);
+	return NULL;
 }
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -50,6 +50,8 @@
 	sharing->members = members_create(&self);
 	sharing->random = g_rand_new_with_seed((guint32)options->random_seed);
 	sharing->incoming = g_byte_array_new();
+	sharing->outgoing = g_hash_table_new_full(
+		NULL, NULL, NULL, (GDestroyNotify)g_byte_array_unref);
 	sharing->followers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	token_bucket_init(&sharing->finds, FINDS_PER_S, FINDS_PER_S,
 			  clock_now_ns(options->clock));
@@ -66,8 +68,9 @@
 	g_rand_free(sharing->random);
 	g_byte_array_unref(sharing->incoming);
 	host_listing_destroy(sharing->listing);
-	if (sharing->outgoing)
-		g_byte_array_unref(sharing->outgoing);
+	for (size_t i = 0; i < ROUTES_KEPT; i++)
+		routing_unref(sharing->routes_kept[i]);
+	g_hash_table_destroy(sharing->outgoing);
 	g_hash_table_destroy(sharing->followers);
 	g_free(sharing->seeds);
 	g_free(sharing);
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -12,7 +12,9 @@
 	struct sharing_message poll = {
 		.kind = SHARING_POLL,
 		.revision = sharing->options.knowledge->revision,
-		.version = routing ? routing->version : 0,
+		.version = routing && !sharing->needs_all_routes
+				   ? routing->version
+				   : 0,
 		.is_listing = sharing->is_listing &&
 			      address == sharing->listing_source,
 		.chunk = sharing->incoming_version ? sharing->incoming_next : 0,
@@ -154,11 +156,13 @@
 static void routing_finish(struct sharing *sharing)
 {
 	struct routing *routing =
-		routing_decode(sharing->incoming->data, sharing->incoming->len);
+		routing_decode(sharing->incoming->data, sharing->incoming->len,
+			       steering_routing(sharing->options.steering));
 	bool is_expected = routing &&
 			   routing->version == sharing->incoming_version;
 
 	incoming_drop(sharing);
+	sharing->needs_all_routes = !is_expected;
 	if (is_expected)
 		sharing->options.on_routing(sharing->options.context, routing);
 	else
--- a/sharing/sharing_message.c
+++ b/sharing/sharing_message.c
@@ -6,7 +6,7 @@
 #include "sharing/byte_codec.h"
 
 /* Changes when the layout of a message does; others are refused. */
-#define FORMAT 1
+#define FORMAT 2
 #define GREETING_FIELDS 6
 #define POLL_FIELDS 10
 #define NEWS_FIELDS 15
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -12,39 +12,69 @@
 	return XXH3_64bits(cursor, strlen(cursor)) >> 1;
 }
 
-static void outgoing_prepare(struct sharing *sharing,
-			     const struct routing *routing)
+/* Keeps the versions that followers may have, so that changes suffice. */
+static void history_note(struct sharing *sharing, struct routing *routing)
 {
-	if (sharing->outgoing && sharing->outgoing_version == routing->version)
+	struct routing **kept = sharing->routes_kept;
+
+	if (kept[0] == routing)
 		return;
-	if (sharing->outgoing)
-		g_byte_array_unref(sharing->outgoing);
-	sharing->outgoing = routing_encode(routing);
-	sharing->outgoing_version = routing->version;
+	routing_unref(kept[ROUTES_KEPT - 1]);
+	for (size_t i = ROUTES_KEPT - 1; i > 0; i--)
+		kept[i] = kept[i - 1];
+	kept[0] = routing_ref(routing);
+	g_hash_table_remove_all(sharing->outgoing);
+}
+
+static const struct routing *history_find(const struct sharing *sharing,
+					  uint64_t version)
+{
+	for (size_t i = 0; i < ROUTES_KEPT; i++) {
+		const struct routing *kept = sharing->routes_kept[i];
+
+		if (kept && kept->version == version)
+			return kept;
+	}
+	return NULL;
+}
+
+/* The routes as changes against version @have, if that is kept. */
+static const GByteArray *outgoing_find(struct sharing *sharing, uint64_t have)
+{
+	const struct routing *base = history_find(sharing, have);
+	gpointer key = GSIZE_TO_POINTER(base ? base->version : 0);
+	GByteArray *bytes = g_hash_table_lookup(sharing->outgoing, key);
+
+	if (bytes)
+		return bytes;
+	bytes = routing_encode(sharing->routes_kept[0], base);
+	g_hash_table_insert(sharing->outgoing, key, bytes);
+	return bytes;
 }
 
-static void chunk_fill(struct sharing *sharing, uint32_t chunk,
+/* Adds a chunk of the routes for a follower that has version @have. */
+static void chunk_fill(struct sharing *sharing, uint64_t have, uint32_t chunk,
 		       struct sharing_message *news)
 {
-	const struct routing *routing =
-		steering_routing(sharing->options.steering);
+	struct routing *routing = steering_routing(sharing->options.steering);
+	const GByteArray *bytes;
 	size_t offset;
 
 	if (!routing)
 		return;
 	news->version = routing->version;
+	history_note(sharing, routing);
 	if (chunk == 0)
 		return;
-	outgoing_prepare(sharing, routing);
+	bytes = outgoing_find(sharing, have);
 	offset = (size_t)(chunk - 1) * ROUTES_CHUNK_BYTES;
-	if (offset >= sharing->outgoing->len)
+	if (offset >= bytes->len)
 		return;
 	news->chunk = chunk;
-	news->chunk_count = (sharing->outgoing->len + ROUTES_CHUNK_BYTES - 1) /
-			    ROUTES_CHUNK_BYTES;
-	news->chunk_data = sharing->outgoing->data + offset;
-	news->chunk_bytes =
-		MIN(sharing->outgoing->len - offset, ROUTES_CHUNK_BYTES);
+	news->chunk_count =
+		(bytes->len + ROUTES_CHUNK_BYTES - 1) / ROUTES_CHUNK_BYTES;
+	news->chunk_data = bytes->data + offset;
+	news->chunk_bytes = MIN(bytes->len - offset, ROUTES_CHUNK_BYTES);
 }
 
 static void hosts_fill(struct sharing *sharing, uint64_t after, bool is_listing,
@@ -110,9 +140,9 @@
 		/* A chunk of routes leaves no room for hosts. */
 		news.revision = message->revision;
 		news.base = message->revision;
-		chunk_fill(sharing, message->chunk, &news);
+		chunk_fill(sharing, message->version, message->chunk, &news);
 	} else {
-		chunk_fill(sharing, 0, &news);
+		chunk_fill(sharing, 0, 0, &news);
 		hosts_fill(sharing, message->revision, message->is_listing,
 			   message->cursor, now_ns, &news);
 		news.load_count = serve_loads_fill(sharing, true, news.loads);
@@ -126,7 +156,7 @@
 	struct sharing_message news = { .kind = SHARING_NEWS };
 	GByteArray *bytes;
 
-	chunk_fill(sharing, 0, &news);
+	chunk_fill(sharing, 0, 0, &news);
 	hosts_fill(sharing, revision, false, "", now_ns, &news);
 	news.age_ms = sharing_age_ms(sharing, now_ns);
 	bytes = sharing_encode(sharing, &news);
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -27,6 +27,9 @@
 /** A follower that did not poll for this long is forgotten. */
 #define FOLLOWER_AGE_MAX_NS (1500 * NS_PER_MS)
 
+/** Versions of the routes whose changes can be told; a storm brings several. */
+#define ROUTES_KEPT 8
+
 /** A balancer that polls this one. */
 struct follower {
 	uint64_t revision; /* that it had with its last poll */
@@ -73,11 +76,13 @@
 	uint64_t incoming_version; /* 0 for none */
 	uint32_t incoming_next; /* chunk that is wanted, from 1 */
 	GByteArray *incoming;
+	bool needs_all_routes; /* changes did not give what was encoded */
 
 	/* Serving. */
 	GHashTable *followers; /* address to struct follower */
-	GByteArray *outgoing; /* routes, encoded */
-	uint64_t outgoing_version;
+	struct routing *routes_kept[ROUTES_KEPT]; /* newest first */
+	/* The newest routes, encoded: version of the base to GByteArray. */
+	GHashTable *outgoing;
 
 	struct token_bucket finds; /* bounds the requests for hosts */
 	struct histogram answer_us;
--- a/steering/routing.c
+++ b/steering/routing.c
@@ -3,16 +3,31 @@
 #include <glib.h>
 #include <string.h>
 
-static int rule_compare(const void *left, const void *right)
+int route_rule_compare(const struct route_rule *a, const struct route_rule *b)
 {
-	const struct route_rule *a = left;
-	const struct route_rule *b = right;
 	int order = memcmp(a->address.bytes, b->address.bytes,
 			   sizeof(a->address.bytes));
 
 	return order != 0 ? order : (int)a->port - (int)b->port;
 }
 
+bool route_rule_equal(const struct route_rule *a, const struct route_rule *b)
+{
+	if (route_rule_compare(a, b) != 0 || a->target_count != b->target_count)
+		return false;
+	for (uint32_t i = 0; i < a->target_count; i++) {
+		if (a->targets[i].weight != b->targets[i].weight ||
+		    strcmp(a->targets[i].service, b->targets[i].service) != 0)
+			return false;
+	}
+	return true;
+}
+
+static int rule_compare(const void *left, const void *right)
+{
+	return route_rule_compare(left, right);
+}
+
 struct routing *routing_create(uint64_t version, uint32_t idle_timeout_ms,
 			       struct route_rule *rules, size_t rule_count)
 {
--- a/tests/sharing/test_codec.c
+++ b/tests/sharing/test_codec.c
@@ -129,8 +129,8 @@
 START_TEST(routes_survive) {
 	static const uint32_t counts[] = { 0, 1, 1640 };
 	struct routing *routing = routes_create(counts[_i]);
-	GByteArray *bytes = routing_encode(routing);
-	struct routing *read = routing_decode(bytes->data, bytes->len);
+	GByteArray *bytes = routing_encode(routing, NULL);
+	struct routing *read = routing_decode(bytes->data, bytes->len, NULL);
 
 	ck_assert_ptr_nonnull(read);
 	ck_assert_uint_eq(read->version, 9);
@@ -138,13 +138,92 @@
 	if (counts[_i] > 0)
 		ck_assert_mem_eq(read->rules, routing->rules,
 				 counts[_i] * sizeof(struct route_rule));
-	ck_assert_ptr_null(routing_decode(bytes->data, bytes->len - 1));
+	ck_assert_ptr_null(routing_decode(bytes->data, bytes->len - 1, NULL));
 	routing_unref(read);
 	routing_unref(routing);
 	g_byte_array_unref(bytes);
 }
 END_TEST
 
+/* Without rule @skipped, with another weight for @changed; both from 0. */
+static struct routing *routes_edit(const struct routing *routing,
+				   size_t skipped, size_t changed)
+{
+	struct route_rule *rules =
+		g_new0(struct route_rule, routing->rule_count);
+	size_t count = 0;
+
+	for (size_t i = 0; i < routing->rule_count; i++) {
+		if (i == skipped)
+			continue;
+		rules[count] = routing->rules[i];
+		if (i == changed)
+			rules[count].targets[0].weight += 7;
+		count++;
+	}
+	return routing_create(routing->version + 1, 9000, rules, count);
+}
+
+START_TEST(changes_of_routes_survive) {
+	static const struct {
+		size_t skipped;
+		size_t changed;
+	} cases[] = {
+		{ 0, 1 },
+		{ 399, 0 },
+		{ 200, 399 },
+		{ 1000, 1000 },
+	};
+	struct routing *all = routes_create(400);
+	struct routing *edited =
+		routes_edit(all, cases[_i].skipped, cases[_i].changed);
+	struct routing *both[] = { all, edited };
+
+	/* What was taken away comes back the other way. */
+	for (int i = 0; i < 2; i++) {
+		const struct routing *from = both[i];
+		const struct routing *to = both[1 - i];
+		GByteArray *bytes = routing_encode(to, from);
+		struct routing *read =
+			routing_decode(bytes->data, bytes->len, from);
+
+		ck_assert_uint_lt(bytes->len, 300);
+		ck_assert_ptr_nonnull(read);
+		ck_assert_uint_eq(read->version, to->version);
+		ck_assert_uint_eq(read->idle_timeout_ms, to->idle_timeout_ms);
+		ck_assert_uint_eq(read->rule_count, to->rule_count);
+		for (size_t j = 0; j < to->rule_count; j++)
+			ck_assert(route_rule_equal(&read->rules[j],
+						   &to->rules[j]));
+		/* Neither without the base nor with another one. */
+		ck_assert_ptr_null(
+			routing_decode(bytes->data, bytes->len, NULL));
+		ck_assert_ptr_null(routing_decode(bytes->data, bytes->len, to));
+		routing_unref(read);
+		g_byte_array_unref(bytes);
+	}
+	routing_unref(all);
+	routing_unref(edited);
+}
+END_TEST
+
+/* Two balancers that differ under one version number must not drift apart. */
+START_TEST(changes_of_other_routes_are_refused) {
+	struct routing *all = routes_create(40);
+	struct routing *edited = routes_edit(all, 3, 4);
+	struct routing *other = routes_edit(all, 5, 6);
+	GByteArray *bytes;
+
+	other->version = all->version;
+	bytes = routing_encode(edited, all);
+	ck_assert_ptr_null(routing_decode(bytes->data, bytes->len, other));
+	g_byte_array_unref(bytes);
+	routing_unref(all);
+	routing_unref(edited);
+	routing_unref(other);
+}
+END_TEST
+
 /* Found by the fuzz target: a missing field was used as a null pointer. */
 START_TEST(missing_field_is_refused) {
 	static const uint8_t damaged[] = { 0x96, 0x01, 0x06, 0x79,
@@ -166,7 +245,7 @@
 		0x01, 0xcd, 0x01, 0xbb, 0xa1, 0x73, 0x01,
 	};
 
-	ck_assert_ptr_null(routing_decode(claim, sizeof(claim)));
+	ck_assert_ptr_null(routing_decode(claim, sizeof(claim), NULL));
 }
 END_TEST
 
@@ -177,6 +256,8 @@
 
 	tcase_add_loop_test(cases, messages_survive, SHARING_GREET,
 			    SHARING_KINDS);
+	tcase_add_loop_test(cases, changes_of_routes_survive, 0, 4);
+	tcase_add_test(cases, changes_of_other_routes_are_refused);
 	tcase_add_loop_test(cases, routes_survive, 0, 3);
 	tcase_add_test(cases, missing_field_is_refused);
 	tcase_add_test(cases, claimed_size_is_not_allocated);
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -88,6 +88,40 @@
 }
 END_TEST
 
+/* Sent in full, 1,400 routes are 60 KB for each of the nine followers. */
+START_TEST(changed_routes_cost_their_changes) {
+	struct node *reader = reader_find(0);
+	uint64_t before;
+
+	network_run(&network, 2000);
+	before = reader->bytes_sent;
+	for (uint32_t i = 1; i <= 4; i++) {
+		network_publish_routes(&network, 1 + i, ROUTES + i);
+		network_run(&network, 500);
+		ck_assert_uint_eq(network_informed_count(&network, 1), NODES);
+	}
+	ck_assert_uint_lt(reader->bytes_sent - before, 100000);
+}
+END_TEST
+
+/* A reader that restarted does not know the versions before. */
+START_TEST(restarted_reader_sends_all_routes) {
+	struct node *reader = reader_find(0);
+	uint32_t index = reader->address - network.nodes[0].address;
+
+	network_publish_routes(&network, 2, 3);
+	network_restart(&network, index);
+	network_run(&network, 2000);
+	network_publish_routes(&network, 3, ROUTES);
+	network_run(&network, 2000);
+	ck_assert_uint_eq(network_informed_count(&network, 1), NODES);
+	for (uint32_t i = 0; i < NODES; i++)
+		ck_assert_uint_eq(
+			steering_routing(network.nodes[i].steering)->rule_count,
+			ROUTES);
+}
+END_TEST
+
 START_TEST(lost_reader_is_replaced) {
 	uint64_t revision;
 
@@ -435,6 +469,8 @@
 	tcase_add_test(cases, one_reader_a_zone);
 	tcase_add_test(cases, change_reaches_all);
 	tcase_add_test(cases, routes_reach_all);
+	tcase_add_test(cases, changed_routes_cost_their_changes);
+	tcase_add_test(cases, restarted_reader_sends_all_routes);
 	tcase_add_test(cases, lost_reader_is_replaced);
 	tcase_add_test(cases, refused_reader_is_passed_over);
 	tcase_add_loop_test(cases, refused_ranks_do_not_hold_up_the_zone, 0,
