Bound the lines about published hosts

Only lines about flows were bounded.

Ruled out: leaving host lines out of the first listing altogether; with 150 hosts each line is wanted.

Change: each kind of event about published hosts has 500 lines at once and then 50 a second; lines_left_out counts the others, as for flows.

Before and after: test lines_about_many_hosts_are_bounded, 3,000 lines, now at most 600.

--- a/parsleyladder/token_balancer.c
+++ b/parsleyladder/token_balancer.c
@@ -256,7 +256,7 @@
 			settings->decision_lines_per_s;
 		balancer->settings->stop_deadline_ms =
 			settings->stop_deadline_ms;
-		flow_log_init(balancer);
+		line_bounds_init(balancer);
 	}
 	g_free(changed);
 	token_settings_destroy(settings);
@@ -280,7 +280,7 @@
 	packets_note(balancer);
 	ready_update(balancer);
 	if (balancer->ticks++ % TICKS_PER_S == 0)
-		flow_log_summarize(balancer);
+		line_bounds_summarize(balancer);
 	if (balancer->ticks % SETTINGS_CHECK_TICKS == 0)
 		settings_reload(balancer, "change");
 	log_flush();
@@ -395,7 +395,7 @@
 	balancer->random_seed = instance_id_hash(settings->instance_id) ^
 				(uint64_t)g_get_real_time();
 	balancer->loop = g_main_loop_new(NULL, FALSE);
-	flow_log_init(balancer);
+	line_bounds_init(balancer);
 	balancer->probes = g_hash_table_new(NULL, NULL);
 	balancer->knowledge.source = "none";
 	steering_open(balancer);
--- a/parsleyladder/token_balancer_private.h
+++ b/parsleyladder/token_balancer_private.h
@@ -23,19 +23,23 @@
 #include "sharing/sharing.h"
 #include "steering/steering.h"
 
-/** Events about single flows, each with its own bound on lines. */
-enum flow_event {
-	FLOW_EVENT_PLACED,
-	FLOW_EVENT_REFUSED, /* opening packet that gets a reset */
-	FLOW_EVENT_RESET, /* open flow */
-	FLOW_EVENT_DROPPED,
-	FLOW_EVENTS,
+/** Events that come in numbers, each with its own bound on lines. */
+enum bounded_event {
+	EVENT_FLOW_PLACED,
+	EVENT_FLOW_REFUSED, /* opening packet that gets a reset */
+	EVENT_FLOW_RESET, /* open flow */
+	EVENT_PACKET_DROPPED,
+	EVENT_HOST_ADDED,
+	EVENT_HOST_CHANGED,
+	EVENT_HOST_RESTARTED,
+	EVENT_HOST_GONE,
+	BOUNDED_EVENTS,
 };
 
-/** Bounds the lines about single flows; see token_log.c. */
-struct flow_log {
-	struct token_bucket buckets[FLOW_EVENTS];
-	uint64_t left_out[FLOW_EVENTS]; /* since the last summary */
+/** Bounds the lines of such events; see token_log.c. */
+struct line_bounds {
+	struct token_bucket buckets[BOUNDED_EVENTS];
+	uint64_t left_out[BOUNDED_EVENTS]; /* since the last summary */
 };
 
 /** Values that are taken when they are asked for. */
@@ -80,7 +84,7 @@
 	struct histogram host_age_ms; /* of what is published, at placements */
 	/* Upper bound of the time from their publication to force. */
 	struct histogram routes_delay_ms;
-	struct flow_log flow_log;
+	struct line_bounds line_bounds;
 	struct sharing *sharing;
 	struct edge *sharing_edge; /* datagrams of other balancers */
 	struct knowledge knowledge;
@@ -97,7 +101,7 @@
 };
 
 /** Starts with full buckets. */
-void flow_log_init(struct token_balancer *balancer);
+void line_bounds_init(struct token_balancer *balancer);
 /** Logs a decision about a packet of a caller. */
 void flow_log_decision(void *context, const struct token_packet *packet,
 		       const struct steering_decision *decision);
@@ -106,7 +110,7 @@
 		    const struct cached_flow *flow,
 		    enum steering_reason reason);
 /** Logs how many lines were left out, if any. */
-void flow_log_summarize(struct token_balancer *balancer);
+void line_bounds_summarize(struct token_balancer *balancer);
 /** Logs what changed in what is published of a host. */
 void host_log_changed(void *context, const struct known_host *host,
 		      bool is_new);
--- a/parsleyladder/token_log.c
+++ b/parsleyladder/token_log.c
@@ -6,32 +6,43 @@
 /* "ADDRESS:PORT>ADDRESS:PORT" */
 #define FLOW_TEXT_BYTES (2 * (IP_ADDRESS_TEXT_BYTES + 6) + 2)
 
-static const char *const flow_event_names[FLOW_EVENTS] = {
-	[FLOW_EVENT_PLACED] = "flow_placed",
-	[FLOW_EVENT_REFUSED] = "flow_refused",
-	[FLOW_EVENT_RESET] = "flow_reset",
-	[FLOW_EVENT_DROPPED] = "packet_dropped",
+/* All hosts of a zone may be published at once; later, few change. */
+#define HOST_LINES_PER_S 50
+#define HOST_LINES_BURST 500
+
+static const char *const event_names[BOUNDED_EVENTS] = {
+	[EVENT_FLOW_PLACED] = "flow_placed",
+	[EVENT_FLOW_REFUSED] = "flow_refused",
+	[EVENT_FLOW_RESET] = "flow_reset",
+	[EVENT_PACKET_DROPPED] = "packet_dropped",
+	[EVENT_HOST_ADDED] = "host_added",
+	[EVENT_HOST_CHANGED] = "host_changed",
+	[EVENT_HOST_RESTARTED] = "host_restarted",
+	[EVENT_HOST_GONE] = "host_gone",
 };
 
-void flow_log_init(struct token_balancer *balancer)
+void line_bounds_init(struct token_balancer *balancer)
 {
 	uint32_t rate = balancer->settings->decision_lines_per_s;
+	struct token_bucket *buckets = balancer->line_bounds.buckets;
 	int64_t now_ns = clock_now_ns(balancer->clock);
 
-	for (int i = 0; i < FLOW_EVENTS; i++)
-		token_bucket_init(&balancer->flow_log.buckets[i], rate,
-				  2 * rate, now_ns);
+	for (int i = 0; i < EVENT_HOST_ADDED; i++)
+		token_bucket_init(&buckets[i], rate, 2 * rate, now_ns);
+	for (int i = EVENT_HOST_ADDED; i < BOUNDED_EVENTS; i++)
+		token_bucket_init(&buckets[i], HOST_LINES_PER_S,
+				  HOST_LINES_BURST, now_ns);
 }
 
 static bool line_is_allowed(struct token_balancer *balancer,
-			    enum flow_event event)
+			    enum bounded_event event)
 {
-	struct flow_log *log = &balancer->flow_log;
+	struct line_bounds *bounds = &balancer->line_bounds;
 
-	if (token_bucket_take(&log->buckets[event],
+	if (token_bucket_take(&bounds->buckets[event],
 			      clock_now_ns(balancer->clock), 1))
 		return true;
-	log->left_out[event]++;
+	bounds->left_out[event]++;
 	balancer->totals[TOTAL_LOG_LEFT_OUT_LINES]++;
 	return false;
 }
@@ -62,14 +73,15 @@
 	return routing ? routing->version : 0;
 }
 
-static enum flow_event decision_event(const struct steering_decision *decision)
+static enum bounded_event
+decision_event(const struct steering_decision *decision)
 {
 	if (decision->verdict == STEERING_DROP)
-		return FLOW_EVENT_DROPPED;
+		return EVENT_PACKET_DROPPED;
 	if (decision->verdict == STEERING_RESET)
-		return decision->is_opening ? FLOW_EVENT_REFUSED
-					    : FLOW_EVENT_RESET;
-	return FLOW_EVENT_PLACED;
+		return decision->is_opening ? EVENT_FLOW_REFUSED
+					    : EVENT_FLOW_RESET;
+	return EVENT_FLOW_PLACED;
 }
 
 static const char *choice_name(const struct steering_decision *decision)
@@ -85,10 +97,10 @@
 {
 	struct token_balancer *balancer = context;
 	const struct known_host *host = decision->host;
-	enum flow_event event = decision_event(decision);
+	enum bounded_event event = decision_event(decision);
 	char flow[FLOW_TEXT_BYTES];
 
-	if (event == FLOW_EVENT_PLACED)
+	if (event == EVENT_FLOW_PLACED)
 		histogram_record(
 			&balancer->host_age_ms,
 			(uint64_t)MAX(age_ms(balancer,
@@ -96,7 +108,7 @@
 				      0));
 	if (!line_is_allowed(balancer, event))
 		return;
-	log_event(LOG_LEVEL_INFO, flow_event_names[event],
+	log_event(LOG_LEVEL_INFO, event_names[event],
 		  "flow=%s token=%08x seq=%u copy=%u reason=%s choice=%s "
 		  "host=%s zone=%s flows=%u host_revision=%" PRIu64
 		  " version=%" PRIu64 " revision=%" PRIu64 " age_ms=%" PRId64,
@@ -118,9 +130,9 @@
 	const struct known_host *host = flow->host;
 	char text[FLOW_TEXT_BYTES];
 
-	if (!line_is_allowed(balancer, FLOW_EVENT_RESET))
+	if (!line_is_allowed(balancer, EVENT_FLOW_RESET))
 		return;
-	log_event(LOG_LEVEL_INFO, flow_event_names[FLOW_EVENT_RESET],
+	log_event(LOG_LEVEL_INFO, event_names[EVENT_FLOW_RESET],
 		  "flow=%s token=%08x reason=%s host=%s misses=%u "
 		  "progress_age_ms=%" PRId64 " packet_age_ms=%" PRId64
 		  " revision=%" PRIu64 " age_ms=%" PRId64,
@@ -133,27 +145,26 @@
 		  age_ms(balancer, balancer->knowledge.confirmed_ns));
 }
 
-void flow_log_summarize(struct token_balancer *balancer)
+void line_bounds_summarize(struct token_balancer *balancer)
 {
-	uint64_t *left_out = balancer->flow_log.left_out;
+	uint64_t *left_out = balancer->line_bounds.left_out;
 
-	for (int i = 0; i < FLOW_EVENTS; i++) {
+	for (int i = 0; i < BOUNDED_EVENTS; i++) {
 		if (left_out[i] == 0)
 			continue;
 		log_event(LOG_LEVEL_WARNING, "lines_left_out",
-			  "of=%s count=%" PRIu64, flow_event_names[i],
-			  left_out[i]);
+			  "of=%s count=%" PRIu64, event_names[i], left_out[i]);
 		left_out[i] = 0;
 	}
 }
 
-void host_log_changed(void *context, const struct known_host *host, bool is_new)
+static void host_log_published(struct token_balancer *balancer,
+			       const struct host_announcement *published,
+			       enum bounded_event event)
 {
-	struct token_balancer *balancer = context;
-	const struct host_announcement *published = &host->published;
 	char address[IP_ADDRESS_TEXT_BYTES];
 
-	log_event(LOG_LEVEL_INFO, is_new ? "host_added" : "host_changed",
+	log_event(LOG_LEVEL_INFO, event_names[event],
 		  "host=%s service=%s zone=%s address=%s:%u slots=%u state=%s "
 		  "slow_start_ms=%u born=%" PRIu64 " host_revision=%" PRIu64
 		  " source=%s",
@@ -163,18 +174,32 @@
 		  published->is_draining ? "draining" : "ready",
 		  published->slow_start_ms, published->born_ms,
 		  published->revision, balancer->knowledge.source);
+}
+
+void host_log_changed(void *context, const struct known_host *host, bool is_new)
+{
+	struct token_balancer *balancer = context;
+	enum bounded_event event = is_new ? EVENT_HOST_ADDED
+					  : EVENT_HOST_CHANGED;
+
+	if (line_is_allowed(balancer, event))
+		host_log_published(balancer, &host->published, event);
 	if (host->is_token_shared)
 		log_event(LOG_LEVEL_ERROR, "token_shared",
 			  "host=%s token=%08x reason=\"gets no new flows\"",
-			  published->id, host->token);
+			  host->published.id, host->token);
 }
 
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted)
 {
-	const struct token_balancer *balancer = context;
+	struct token_balancer *balancer = context;
+	enum bounded_event event = is_restarted ? EVENT_HOST_RESTARTED
+						: EVENT_HOST_GONE;
 
-	log_event(LOG_LEVEL_INFO, is_restarted ? "host_restarted" : "host_gone",
+	if (!line_is_allowed(balancer, event))
+		return;
+	log_event(LOG_LEVEL_INFO, event_names[event],
 		  "host=%s service=%s state=%s flows=%u revision=%" PRIu64
 		  " source=%s",
 		  host->published.id, host->published.service,
--- a/tests/parsleyladder/test_token_balancer.c
+++ b/tests/parsleyladder/test_token_balancer.c
@@ -158,6 +158,35 @@
 }
 END_TEST
 
+/*
+ * 300 balancers that learn of 3,000 hosts each wrote 600 KB of lines at once,
+ * while callers waited for them.
+ */
+START_TEST(lines_about_many_hosts_are_bounded) {
+	static const uint32_t hosts = 3000;
+	struct host_table *table = steering_hosts(balancer->steering);
+
+	for (uint32_t i = 0; i < hosts; i++) {
+		struct host_announcement host = { .revision = 1 + i };
+
+		g_snprintf(host.id, sizeof(host.id), "i-%u", i);
+		g_strlcpy(host.service, "examen", sizeof(host.service));
+		host_table_put(table, &host, stepping.now_ns);
+	}
+	ck_assert_uint_eq(host_table_count(table), hosts);
+	ck_assert_int_ge(counter_find("total_log_left_out_lines"), 2400);
+	/* A few hosts that change afterwards are all told. */
+	stepping.now_ns += 10 * NS_PER_S;
+	for (uint32_t i = 0; i < 20; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "i-%u", i);
+		host_table_remove(table, id, hosts + 1, stepping.now_ns);
+	}
+	ck_assert_int_le(counter_find("total_log_left_out_lines"), 2500);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("token balancer");
@@ -166,6 +195,7 @@
 	tcase_add_checked_fixture(cases, balancer_open, balancer_close);
 	tcase_add_test(cases, time_of_each_decision_is_recorded);
 	tcase_add_test(cases, routes_delay_counts_from_the_last_confirmation);
+	tcase_add_test(cases, lines_about_many_hosts_are_bounded);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
