--- a/configuration/field_reader.c
+++ b/configuration/field_reader.c
@@ -3,7 +3,7 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "configuration/configuration.h"
+#include "common/name.h"
 #include "packet/packet.h"
 
 /** Longest part of a bad value that an error message repeats, in bytes. */
--- a/configuration/settings.c
+++ b/configuration/settings.c
@@ -1,19 +1,19 @@
 #include "configuration/settings.h"
 
 #include <string.h>
-#include <xxhash.h>
-#include <zmq.h>
 
+#include "common/endpoint.h"
 #include "configuration/field_reader.h"
 #include "configuration/json_text.h"
 #include "configuration/settings_text.h"
-#include "placement/member_view.h"
+#include "packet/packet.h"
 
-/** Largest settings file; 1,023 peers take about 300 KB. */
-#define SETTINGS_BYTES_MAX (1024 * 1024)
-
-/** Registered port of Generic UDP Encapsulation. */
-#define GUE_PORT 6080
+/** Largest settings file, in bytes. */
+#define SETTINGS_BYTES_MAX (64 * 1024)
+/** Most seeds that are read. */
+#define SEEDS_MAX 64
+/** Largest core share that is believed. */
+#define CORE_SHARE_MAX 64
 
 static const struct field_choice log_levels[] = {
 	{ "error", LOG_LEVEL_ERROR },
@@ -23,39 +23,12 @@
 	{ NULL, 0 },
 };
 
-#define PORT_FIELD(structure, member, port)                             \
-	.name = #member, .type = FIELD_INTEGER, .min = 1, .max = 65535, \
-	.integer_default = (port), FIELD_MEMBER(structure, member)
+#define ENDPOINT_FIELD(member, required)                                     \
+	.name = #member, .type = FIELD_TEXT, .max = ENDPOINT_TEXT_BYTES - 1, \
+	.min = (required), .is_required = (required),                        \
+	FIELD_MEMBER(settings, member)
 
-static const struct field peer_fields[] = {
-	{ .name = "instance_id",
-	  .type = FIELD_NAME,
-	  .is_required = true,
-	  FIELD_MEMBER(peer_settings, instance_id) },
-	{ .name = "availability_zone",
-	  .type = FIELD_NAME,
-	  .is_required = true,
-	  FIELD_MEMBER(peer_settings, zone) },
-	{ .name = "address",
-	  .type = FIELD_ADDRESS_TEXT,
-	  .is_required = true,
-	  FIELD_MEMBER(peer_settings, address) },
-	{ PORT_FIELD(peer_settings, pass_port, 6081) },
-	{ PORT_FIELD(peer_settings, peer_port, 6082) },
-	{ .name = "public_key",
-	  .type = FIELD_KEY,
-	  .is_required = true,
-	  .min = 1,
-	  FIELD_MEMBER(peer_settings, public_key) },
-};
-
-static const struct field_table peer_table = {
-	peer_fields,
-	G_N_ELEMENTS(peer_fields),
-	sizeof(struct peer_settings),
-};
-
-static const struct field settings_fields[] = {
+static const struct field token_fields[] = {
 	{ .name = "instance_id",
 	  .type = FIELD_NAME,
 	  .is_required = true,
@@ -64,199 +37,117 @@
 	  .type = FIELD_NAME,
 	  .is_required = true,
 	  FIELD_MEMBER(settings, zone) },
-	{ .name = "data_address",
-	  .type = FIELD_ADDRESS_TEXT,
-	  .is_required = true,
-	  FIELD_MEMBER(settings, data_address) },
-	{ PORT_FIELD(settings, data_port, GUE_PORT) },
-	{ PORT_FIELD(settings, pass_port, 6081) },
-	{ PORT_FIELD(settings, peer_port, 6082) },
-	{ .name = "fabric_address",
-	  .type = FIELD_ADDRESS_TEXT,
+	{ ENDPOINT_FIELD(packet_endpoint, true) },
+	{ ENDPOINT_FIELD(readiness_endpoint, true) },
+	{ ENDPOINT_FIELD(control_endpoint, true) },
+	{ ENDPOINT_FIELD(admin_endpoint, false) },
+	{ ENDPOINT_FIELD(store_endpoint, true) },
+	{ .name = "sharing_port",
+	  .type = FIELD_INTEGER,
+	  .min = 1,
+	  .max = 65535,
 	  .is_required = true,
-	  FIELD_MEMBER(settings, fabric_address) },
-	{ PORT_FIELD(settings, fabric_port, GUE_PORT) },
-	{ .name = "admin_address",
-	  .type = FIELD_ADDRESS_TEXT,
-	  .text_default = "127.0.0.1",
-	  FIELD_MEMBER(settings, admin_address) },
-	{ PORT_FIELD(settings, admin_port, 6083) },
-	{ .name = "admin_token",
+	  FIELD_MEMBER(settings, sharing_port) },
+	{ .name = "core_share",
 	  .type = FIELD_TEXT,
-	  .is_secret = true,
-	  .max = NAME_BYTES_MAX,
-	  FIELD_MEMBER(settings, admin_token) },
-	{ .name = "platform_url",
-	  .type = FIELD_URL,
-	  .max = 255,
-	  FIELD_MEMBER(settings, platform_url) },
-	{ .name = "peers",
-	  .type = FIELD_OBJECT_LIST,
-	  .max = MEMBER_VIEW_MAX - 1,
-	  .element = &peer_table,
-	  .offset = offsetof(struct settings, peers),
-	  .count_offset = offsetof(struct settings, peer_count) },
-	/* Integers of up to 53 bits mean the same to all JSON programs. */
-	{ .name = "flow_hash_seed",
-	  .type = FIELD_INTEGER,
-	  .max = (INT64_C(1) << 53) - 1,
-	  FIELD_MEMBER(settings, flow_hash_seed) },
+	  .max = sizeof(((struct settings *)NULL)->core_share) - 1,
+	  .text_default = "1",
+	  FIELD_MEMBER(settings, core_share) },
+	{ .name = "seeds",
+	  .type = FIELD_TEXT_LIST,
+	  .max = SEEDS_MAX,
+	  .offset = offsetof(struct settings, seeds) },
 	{ .name = "log_level",
 	  .type = FIELD_CHOICE,
 	  .choices = log_levels,
 	  .integer_default = LOG_LEVEL_INFO,
 	  FIELD_MEMBER(settings, log_level) },
-	{ .name = "control_bytes_per_second",
+	{ .name = "decision_lines_per_second",
+	  .type = FIELD_INTEGER,
+	  .unit = "lines/s",
+	  .max = 100000,
+	  .integer_default = 50,
+	  FIELD_MEMBER(settings, decision_lines_per_s) },
+	{ .name = "max_flows",
 	  .type = FIELD_INTEGER,
-	  .unit = "bytes/s",
+	  .unit = "flows",
 	  .min = 1024,
-	  .max = 1048576,
-	  .integer_default = 4096,
-	  FIELD_MEMBER(settings, control_bytes_per_second) },
-	{ .name = "public_key",
-	  .type = FIELD_KEY,
-	  FIELD_MEMBER(settings, public_key) },
-	{ .name = "secret_key",
-	  .type = FIELD_KEY,
-	  .is_secret = true,
-	  FIELD_MEMBER(settings, secret_key) },
-	{ .name = "accepted_keys",
-	  .type = FIELD_KEY_LIST,
-	  .max = 2 * MEMBER_VIEW_MAX,
-	  .offset = offsetof(struct settings, accepted_keys) },
-	{ .name = "drain_deadline_seconds",
+	  .max = 16777216,
+	  .integer_default = 65536,
+	  FIELD_MEMBER(settings, flows_max) },
+	{ .name = "flow_age_max_seconds",
 	  .type = FIELD_INTEGER,
 	  .unit = "seconds",
 	  .min = 1,
-	  .max = 3600,
-	  .integer_default = 30,
-	  FIELD_MEMBER(settings, drain_deadline_s) },
-	{ .name = "max_exceptions",
+	  .max = 604800,
+	  .integer_default = 60,
+	  FIELD_MEMBER(settings, flow_age_max_s) },
+	{ .name = "stop_deadline_milliseconds",
 	  .type = FIELD_INTEGER,
-	  .unit = "records",
-	  .min = 1024,
-	  .max = 16777216,
-	  .integer_default = 1048576,
-	  FIELD_MEMBER(settings, exceptions_max) },
-	{ .name = "configuration_files",
-	  .type = FIELD_TEXT_LIST,
-	  .max = 4096,
-	  .offset = offsetof(struct settings, configuration_files) },
+	  .unit = "ms",
+	  .max = 3600000,
+	  .integer_default = 4000,
+	  FIELD_MEMBER(settings, stop_deadline_ms) },
 };
 
-static const struct field_table settings_table = {
-	settings_fields,
-	G_N_ELEMENTS(settings_fields),
+static const struct field_table token_table = {
+	token_fields,
+	G_N_ELEMENTS(token_fields),
 	sizeof(struct settings),
 };
 
 const struct field_table *settings_field_table(void)
 {
-	return &settings_table;
-}
-
-uint64_t instance_id_hash(const char *instance_id)
-{
-	return XXH3_64bits(instance_id, strlen(instance_id));
+	return &token_table;
 }
 
-/**
- * Names and their hashes must differ: the hash is the id of a member on the
- * wire.
- */
-static bool check_peer_ids(const struct field_reader *reader,
-			   const struct settings *settings)
+static bool endpoint_check(const struct field_reader *reader, const char *path,
+			   const char *text)
 {
-	GHashTable *ids = g_hash_table_new(g_int64_hash, g_int64_equal);
-	uint64_t *hashes = g_new(uint64_t, settings->peer_count + 1);
-	char *path;
-	size_t i;
+	struct endpoint endpoint;
+	struct ip_address address;
 
-	hashes[settings->peer_count] = instance_id_hash(settings->instance_id);
-	g_hash_table_add(ids, &hashes[settings->peer_count]);
-	for (i = 0; i < settings->peer_count; i++) {
-		hashes[i] = instance_id_hash(settings->peers[i].instance_id);
-		if (!g_hash_table_add(ids, &hashes[i]))
-			break;
-	}
-	g_hash_table_unref(ids);
-	g_free(hashes);
-	if (i == settings->peer_count)
+	if (endpoint_parse(text, &endpoint) &&
+	    ip_address_parse(endpoint.address, &address))
 		return true;
-	path = g_strdup_printf("$.peers[%zu].instance_id", i);
-	field_reader_fail_at(reader, path,
-			     "\"%s\" is used twice, allowed a name of its own",
-			     settings->peers[i].instance_id);
-	g_free(path);
-	return false;
+	return field_reader_fail_at(
+		reader, path, "\"%s\", allowed an IP address and a port", text);
 }
 
-static bool check_ports(const struct field_reader *reader,
-			const struct settings *settings)
+static bool endpoints_check(const struct field_reader *reader,
+			    const struct settings *settings)
 {
-	if (settings->data_port == settings->pass_port)
-		return field_reader_fail_at(
-			reader, "$.pass_port",
-			"%u is the data_port too, allowed another one",
-			settings->pass_port);
-	if (settings->peer_port == settings->admin_port &&
-	    strcmp(settings->data_address, settings->admin_address) == 0)
-		return field_reader_fail_at(
-			reader, "$.admin_port",
-			"%u is the peer_port too, allowed another one",
-			settings->admin_port);
-	return true;
+	return endpoint_check(reader, "$.packet_endpoint",
+			      settings->packet_endpoint) &&
+	       endpoint_check(reader, "$.readiness_endpoint",
+			      settings->readiness_endpoint) &&
+	       endpoint_check(reader, "$.control_endpoint",
+			      settings->control_endpoint) &&
+	       endpoint_check(reader, "$.store_endpoint",
+			      settings->store_endpoint) &&
+	       (!*settings->admin_endpoint ||
+		endpoint_check(reader, "$.admin_endpoint",
+			       settings->admin_endpoint));
 }
 
-/** A public key that does not belong to the secret one stops every peer. */
-static bool check_keys(const struct field_reader *reader,
-		       const struct settings *settings)
+/* The share is a decimal fraction, such as 0.25. */
+static bool core_share_check(const struct field_reader *reader,
+			     const struct settings *settings)
 {
-	char derived[CURVE_KEY_TEXT_BYTES];
+	char *end;
+	double share = g_ascii_strtod(settings->core_share, &end);
 
-	if (settings->peer_count > 0 && !*settings->secret_key)
-		return field_reader_fail_at(
-			reader, "$.secret_key",
-			"is missing, allowed 40 characters of Z85 where "
-			"there are peers");
-	if (!*settings->secret_key && !*settings->public_key)
+	if (*end == '\0' && share > 0 && share <= CORE_SHARE_MAX)
 		return true;
-	if (zmq_curve_public(derived, settings->secret_key) == 0 &&
-	    strcmp(derived, settings->public_key) == 0)
-		return true;
-	return field_reader_fail_at(
-		reader, "$.public_key",
-		"\"%s\" does not belong to secret_key, allowed the public half "
-		"of the pair",
-		settings->public_key);
-}
-
-static bool check_source(const struct field_reader *reader,
-			 const struct settings *settings)
-{
-	bool has_files = settings->configuration_files[0] != NULL;
-
-	if (*settings->platform_url && has_files)
-		return field_reader_fail_at(
-			reader, "$.configuration_files",
-			"is given beside platform_url, allowed one of both");
-	if (!*settings->platform_url && !has_files)
-		return field_reader_fail_at(
-			reader, "$.platform_url",
-			"is missing, allowed an http URL, or files in "
-			"configuration_files");
-	return true;
+	return field_reader_fail_at(reader, "$.core_share",
+				    "\"%s\", allowed a number above 0 and up "
+				    "to %d",
+				    settings->core_share, CORE_SHARE_MAX);
 }
 
-static void add_default_keys(struct settings *settings)
+uint16_t settings_capacity(const struct settings *settings)
 {
-	if (settings->accepted_keys[0])
-		return;
-	g_free(settings->accepted_keys);
-	settings->accepted_keys = g_new0(char *, settings->peer_count + 1);
-	for (size_t i = 0; i < settings->peer_count; i++)
-		settings->accepted_keys[i] =
-			g_strdup(settings->peers[i].public_key);
+	return (uint16_t)(g_ascii_strtod(settings->core_share, NULL) * 1000);
 }
 
 struct settings *settings_parse(const char *source, const char *data,
@@ -264,28 +155,25 @@
 {
 	JsonNode *root =
 		json_text_parse(source, data, length, ERROR_SETTINGS, error);
-	struct field_reader reader;
 	struct settings *settings;
+	struct field_reader reader;
 	bool is_valid;
 
 	if (!root)
 		return NULL;
 	settings = g_new0(struct settings, 1);
 	field_reader_init(&reader, source, ERROR_SETTINGS, error);
-	is_valid = field_reader_read(&reader, &settings_table,
+	reader.is_lenient = true;
+	is_valid = field_reader_read(&reader, &token_table,
 				     json_node_get_object(root), settings) &&
-		   check_peer_ids(&reader, settings) &&
-		   check_ports(&reader, settings) &&
-		   check_keys(&reader, settings) &&
-		   check_source(&reader, settings);
+		   endpoints_check(&reader, settings) &&
+		   core_share_check(&reader, settings);
 	field_reader_clear(&reader);
 	json_node_unref(root);
-	if (!is_valid) {
-		settings_destroy(settings);
-		return NULL;
-	}
-	add_default_keys(settings);
-	return settings;
+	if (is_valid)
+		return settings;
+	settings_destroy(settings);
+	return NULL;
 }
 
 struct settings *settings_load(const char *path, struct error *error)
@@ -305,11 +193,30 @@
 {
 	if (!settings)
 		return;
-	field_table_clear(&settings_table, settings);
+	field_table_clear(&token_table, settings);
 	g_free(settings);
 }
 
 char *settings_print(const struct settings *settings)
 {
-	return field_table_text(&settings_table, settings);
+	return field_table_text(&token_table, settings);
+}
+
+char *settings_diff(const struct settings *a, const struct settings *b)
+{
+	GString *names = g_string_new(NULL);
+
+	for (size_t i = 0; i < token_table.field_count; i++) {
+		const struct field *field = &token_table.fields[i];
+		char *before = field_print_value(field, a);
+		char *after = field_print_value(field, b);
+
+		if (strcmp(before, after) != 0)
+			g_string_append_printf(names, "%s%s",
+					       names->len > 0 ? "," : "",
+					       field->name);
+		g_free(before);
+		g_free(after);
+	}
+	return g_string_free(names, FALSE);
 }
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -11,14 +11,10 @@
 	ERROR_NONE,
 	ERROR_USAGE, /* wrong command line */
 	ERROR_SETTINGS, /* settings file unreadable or invalid */
-	ERROR_CONFIGURATION, /* a revision that fails validation */
-	ERROR_STALE, /* a revision or version lower than the one in force */
 	ERROR_ADDRESS_IN_USE, /* another process has the port */
 	ERROR_IO, /* a system call failed */
 	ERROR_PLATFORM, /* the platform is unreachable or answers nonsense */
 	ERROR_PEER, /* a peer message is malformed or unauthenticated */
-	ERROR_PACKET, /* a packet is malformed */
-	ERROR_LIMIT, /* a configured limit is reached */
 	ERROR_NOT_FOUND, /* no such service, flow, host or member */
 	ERROR_TIMEOUT, /* no answer in time */
 	ERROR_INTERNAL, /* a broken invariant of this process */
@@ -29,10 +25,8 @@
 enum error_action {
 	ERROR_ACTION_NONE,
 	ERROR_ACTION_EXIT, /* end the process with the exit code */
-	ERROR_ACTION_KEEP, /* keep the state in force, count and log */
 	ERROR_ACTION_RETRY, /* try again with backoff */
 	ERROR_ACTION_DROP, /* drop the packet or message and count it */
-	ERROR_ACTION_REFUSE, /* answer the caller with a refusal */
 };
 
 struct error_answer {
--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -2,7 +2,8 @@
 #define PARSLEYLADDER_CONFIGURATION_SETTINGS_H
 
 /**
- * Settings of one balancer process, read once from a JSON file at start.
+ * Settings of a balancer, read from a JSON file.
+ * Fields that are not known are skipped, as newer deployments may add some.
  */
 
 #include <stdbool.h>
@@ -11,61 +12,44 @@
 
 #include "common/error.h"
 #include "common/log.h"
-#include "configuration/configuration.h"
-#include "peer/transport.h"
+#include "common/name.h"
 
-struct peer_settings {
-	char instance_id[NAME_BYTES_MAX + 1];
-	char zone[NAME_BYTES_MAX + 1]; /* key "availability_zone" */
-	char address[IP_ADDRESS_TEXT_BYTES];
-	uint16_t pass_port;
-	uint16_t peer_port;
-	char public_key[CURVE_KEY_TEXT_BYTES];
-};
+/** Longest text IP:PORT, in bytes with the terminating NUL. */
+#define ENDPOINT_TEXT_BYTES 64
 
 struct settings {
 	char instance_id[NAME_BYTES_MAX + 1];
-	char zone[NAME_BYTES_MAX + 1];
-	char data_address[IP_ADDRESS_TEXT_BYTES];
-	uint16_t data_port;
-	uint16_t pass_port;
-	uint16_t peer_port;
-	/* Where packets towards callers (refusals) are sent, in GUE. */
-	char fabric_address[IP_ADDRESS_TEXT_BYTES];
-	uint16_t fabric_port;
-	char admin_address[IP_ADDRESS_TEXT_BYTES];
-	uint16_t admin_port;
-	char admin_token[NAME_BYTES_MAX + 1]; /* "" = none asked for */
-	char platform_url[256]; /* "" = configuration from files */
-	struct peer_settings *peers;
-	size_t peer_count;
-	uint64_t flow_hash_seed;
+	char zone[NAME_BYTES_MAX + 1]; /* key "availability_zone" */
+	char packet_endpoint[ENDPOINT_TEXT_BYTES];
+	char readiness_endpoint[ENDPOINT_TEXT_BYTES];
+	char control_endpoint[ENDPOINT_TEXT_BYTES]; /* of the other balancers */
+	char admin_endpoint[ENDPOINT_TEXT_BYTES]; /* "" = none */
+	char store_endpoint[ENDPOINT_TEXT_BYTES];
+	uint16_t sharing_port; /* UDP, the same on all balancers */
+	char core_share[16]; /* processor of the instance, in cores */
+	char **seeds; /* control endpoints of others; NULL-terminated */
 	enum log_level log_level;
-	uint32_t control_bytes_per_second;
-	char public_key[CURVE_KEY_TEXT_BYTES];
-	char secret_key[CURVE_KEY_TEXT_BYTES];
-	char **accepted_keys; /* NULL-terminated */
-	uint32_t drain_deadline_s; /* key "drain_deadline_seconds" */
-	uint32_t exceptions_max; /* key "max_exceptions" */
-	char **configuration_files; /* NULL-terminated */
+	uint32_t decision_lines_per_s; /* of the log, about single flows */
+	uint32_t flows_max;
+	uint32_t flow_age_max_s; /* key "flow_age_max_seconds" */
+	uint32_t stop_deadline_ms;
 };
 
 struct field_table;
 
-/** Fields of the settings, with ranges and defaults. */
 const struct field_table *settings_field_table(void);
-/**
- * Reads @length bytes of JSON; @source names them in errors. Returns NULL and
- * fills @error (ERROR_SETTINGS) with source, JSON path, value and range.
- */
+/** Returns NULL and fills @error (ERROR_SETTINGS). */
 struct settings *settings_parse(const char *source, const char *data,
 				size_t length, struct error *error);
 /** Like settings_parse(), from the file @path. */
 struct settings *settings_load(const char *path, struct error *error);
+/** Processor of the instance, in thousandths of a core. */
+uint16_t settings_capacity(const struct settings *settings);
+/** Accepts NULL. */
 void settings_destroy(struct settings *settings);
-/** Settings as JSON text, defaults included, secrets masked; g_free() it. */
+/** Settings as JSON text with defaults; g_free() it. */
 char *settings_print(const struct settings *settings);
-/** Numeric id of an instance: XXH3 64-bit of its name. */
-uint64_t instance_id_hash(const char *instance_id);
+/** Names of the fields that differ, separated by commas; g_free() it. */
+char *settings_diff(const struct settings *a, const struct settings *b);
 
 #endif
--- a/include/configuration/settings_text.h
+++ b/include/configuration/settings_text.h
@@ -2,7 +2,7 @@
 #define PARSLEYLADDER_CONFIGURATION_SETTINGS_TEXT_H
 
 /**
- * Settings files of either kind of balancer, as text.
+ * Settings files as text.
  */
 
 #include <stddef.h>
--- a/include/parsleyladder/balancer.h
+++ b/include/parsleyladder/balancer.h
@@ -2,19 +2,20 @@
 #define PARSLEYLADDER_PARSLEYLADDER_BALANCER_H
 
 /**
- * The balancer process: creates the packages, joins them, and runs until a
- * graceful shutdown has finished.
+ * The balancer process for an edge whose packets carry tokens: joins the edge,
+ * the steering core, the store and the other balancers.
  */
 
 #include "common/clock.h"
 #include "common/error.h"
-#include "configuration/settings.h"
 
 struct balancer;
 
-/** Returns NULL and fills @error. @settings must outlive the balancer. */
-struct balancer *balancer_create(const struct settings *settings,
-				 const struct clock *clock,
+/**
+ * Reads the settings file at @path, opens the log and all sockets. Returns
+ * NULL and fills @error.
+ */
+struct balancer *balancer_create(const char *path, const struct clock *clock,
 				 struct error *error);
 void balancer_destroy(struct balancer *balancer);
 /** Runs the loop until SIGTERM or SIGINT and the shutdown that follows. */
--- a/include/parsleyladder/command.h
+++ b/include/parsleyladder/command.h
@@ -8,13 +8,10 @@
 #include "common/command.h"
 
 int command_balancer(int argc, char **argv);
-int command_check_config(int argc, char **argv);
 int command_check_settings(int argc, char **argv);
 int command_dump(int argc, char **argv);
 int command_explain(int argc, char **argv);
-int command_keygen(int argc, char **argv);
 int command_print_settings(int argc, char **argv);
-int command_token_balancer(int argc, char **argv);
 int command_version(int argc, char **argv);
 
 #endif
--- a/include/parsleyladder/forwarder.h
+++ b/include/parsleyladder/forwarder.h
@@ -2,29 +2,30 @@
 #define PARSLEYLADDER_PARSLEYLADDER_FORWARDER_H
 
 /**
- * Data path of a balancer: receives packets from the fabric and from other
- * balancers, asks the core, and carries out its action.
+ * Data path of a balancer whose packets carry tokens: receives packets from
+ * the fabric, asks the steering core, and carries out its decision.
  */
 
-#include <json-glib/json-glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/clock.h"
+#include "common/counters.h"
 #include "common/error.h"
 #include "configuration/settings.h"
-#include "core/core.h"
+#include "steering/steering.h"
 
 struct forwarder;
 
 struct forwarder_options {
 	const struct settings *settings;
-	struct core *core;
-	/**
-	 * Called before the first packet of each batch, so that a process that
-	 * was paused notices it before it acts on packets. Returns false if the
-	 * batch has to be dropped.
-	 */
+	const struct clock *clock;
+	struct steering *steering;
+	/** False if the packets of this batch waited through a pause. */
 	bool (*on_batch_begin)(void *context);
+	/** A decision about an opening packet, or one that is no forwarding. */
+	void (*on_decision)(void *context, const struct token_packet *packet,
+			    const struct steering_decision *decision);
 	void *context;
 };
 
@@ -32,9 +33,15 @@
 struct forwarder *forwarder_create(const struct forwarder_options *options,
 				   struct error *error);
 void forwarder_destroy(struct forwarder *forwarder);
-/** Packets received from the fabric so far. */
-uint64_t forwarder_fabric_packets(const struct forwarder *forwarder);
-void forwarder_print_json(const struct forwarder *forwarder,
-			  JsonBuilder *builder);
+/** Tells the caller that its flow is no more. */
+void forwarder_reset(struct forwarder *forwarder, const struct flow_key *key,
+		     uint32_t sequence);
+/** Sends the resets that are queued. */
+void forwarder_flush(struct forwarder *forwarder);
+/** Packets received so far. */
+uint64_t forwarder_packets(const struct forwarder *forwarder);
+/** Registers the counters of the data path. */
+void forwarder_count(const struct forwarder *forwarder,
+		     struct counter_registry *counters);
 
 #endif
--- a/include/peer/field_codec.h
+++ b/include/sharing/field_codec.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYLADDER_PEER_FIELD_CODEC_H
-#define PARSLEYLADDER_PEER_FIELD_CODEC_H
+#ifndef PARSLEYLADDER_SHARING_FIELD_CODEC_H
+#define PARSLEYLADDER_SHARING_FIELD_CODEC_H
 
 /**
  * A flat msgpack array of integers, strings and binary fields. Nested arrays
--- a/include/standins/scenario/process.h
+++ b/include/standins/soak/process.h
@@ -1,8 +1,8 @@
-#ifndef PARSLEYLADDER_STANDINS_SCENARIO_PROCESS_H
-#define PARSLEYLADDER_STANDINS_SCENARIO_PROCESS_H
+#ifndef PARSLEYLADDER_STANDINS_SOAK_PROCESS_H
+#define PARSLEYLADDER_STANDINS_SOAK_PROCESS_H
 
 /**
- * Child processes of a scenario. Each is addressed by its process id only,
+ * Child processes of a run. Each is addressed by its process id only,
  * and its output goes to a log file.
  */
 
--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #include "common/clock.h"
-#include "standins/scenario/process.h"
+#include "standins/soak/process.h"
 #include "standins/soak/soak_store.h"
 #include "standins/soak/wire.h"
 
--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "configuration/configuration.h"
+#include "common/name.h"
 #include "packet/packet.h"
 #include "steering/evidence.h"
 
--- a/include/steering/routing.h
+++ b/include/steering/routing.h
@@ -10,7 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "configuration/configuration.h"
+#include "common/name.h"
 #include "packet/packet.h"
 
 /** Most services that one route may be split over. */
--- a/packet/address.c
+++ b/packet/address.c
@@ -4,9 +4,6 @@
 #include <endian.h>
 #include <string.h>
 
-#include "packet/bytes.h"
-#include "packet/transport.h"
-
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -41,29 +38,6 @@
 	return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
 }
 
-bool ip_address_is_multicast(const struct ip_address *address)
-{
-	if (ip_address_is_v4(address))
-		return address->bytes[12] >= 224;
-	return address->bytes[0] == 0xff;
-}
-
-bool ip_address_is_martian(const struct ip_address *address)
-{
-	const uint8_t *bytes = address->bytes;
-
-	/* 0.0.0.0/8, 127.0.0.0/8, 169.254.0.0/16, 224.0.0.0/4, 240.0.0.0/4. */
-	if (ip_address_is_v4(address))
-		return bytes[12] == 0 || bytes[12] == 127 || bytes[12] >= 224 ||
-		       (bytes[12] == 169 && bytes[13] == 254);
-	/* ff00::/8 and fe80::/10. */
-	if (bytes[0] != 0)
-		return bytes[0] == 0xff ||
-		       (bytes[0] == 0xfe && (bytes[1] & 0xc0) == 0x80);
-	/* The unspecified address and the loopback address. */
-	return bytes_read_u64(bytes) == 0 && bytes_read_u64(bytes + 8) <= 1;
-}
-
 bool ip_address_parse(const char *text, struct ip_address *address)
 {
 	if (inet_pton(AF_INET, text, address->bytes + 12) == 1) {
@@ -90,8 +64,7 @@
  * @rest has, from its most significant byte, the caller port, the service port,
  * the protocol and three bytes of 0. It is written as one big-endian word: that
  * makes instances of either byte order agree, and avoids the stalls of reading
- * a word back from the narrower fields it was stored by (23 to 30 ns a hash
- * before, 6 to 13 ns after, in bench/forward_bench).
+ * a word back from the narrower fields it was stored by.
  */
 struct hashed_key {
 	struct ip_address caller;
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -1,208 +1,229 @@
 #include "parsleyladder/balancer.h"
 
 #include <glib-unix.h>
-#include <glib.h>
+#include <inttypes.h>
 #include <signal.h>
+#include <string.h>
+#include <xxhash.h>
 
 #include "balancer_private.h"
 #include "common/log.h"
 
 /* Time without a packet from the fabric after which it has stopped sending. */
 #define FABRIC_QUIET_NS (1 * NS_PER_S)
-/* A larger part would hold maps back for seconds at the control budget. */
-#define REVISION_BULK_BYTES (16 * 1024)
+/* The loop was not run for this long: the process was paused. */
+#define PAUSE_NS (1 * NS_PER_S)
 /* A full receive buffer is emptied in a few milliseconds. */
 #define WAKE_DISCARD_NS (50 * NS_PER_MS)
-
-static void core_send(void *context, uint64_t member_id,
-		      const struct core_message *message,
-		      enum message_priority priority)
+/* A watch that fell silent is noticed after its wait and the timeout. */
+#define WATCH_WAIT_MS 1000
+#define ANSWER_TIMEOUT_MS 800
+/* Changes of several hosts come together; one call brings them all. */
+#define BATCH_MS 100
+/* What is published counts as current for this long after a confirmation. */
+#define CURRENT_NS (4 * NS_PER_S)
+/* Settings may change without a signal. */
+#define SETTINGS_CHECK_TICKS 20
+#define TICKS_PER_S (1000 / STEERING_TICK_MS)
+
+static void flow_reset(void *context, const struct cached_flow *flow,
+		       enum steering_reason reason)
 {
 	struct balancer *balancer = context;
 
-	peering_send_core(balancer->peering, member_id, message, priority);
+	forwarder_reset(balancer->forwarder, &flow->key, flow->acknowledged);
+	flow_log_reset(balancer, flow, reason);
 }
 
-static uint64_t core_budget(void *context)
+static void token_find(void *context, uint32_t token)
 {
 	struct balancer *balancer = context;
 
-	return peering_budget_bytes(balancer->peering);
+	sharing_find_token(balancer->sharing, token);
+	edge_flush(balancer->sharing_edge);
 }
 
-static void view_apply(void *context, const struct member_view *view)
+static void listing_begin(void *context, uint64_t revision)
 {
 	struct balancer *balancer = context;
 
-	core_set_view(balancer->core, view);
-	revision_sync_set_view(balancer->revision_sync, view);
-	if (view->version == balancer->view_version)
-		return;
-	balancer->view_version = view->version;
-	log_event(LOG_LEVEL_INFO, "view_changed",
-		  "version=%" G_GUINT64_FORMAT
-		  " members=%zu rejoining=%d partial=%d",
-		  view->version, view->member_count, view->is_rejoining,
-		  view->is_partial);
+	host_listing_destroy(balancer->listing);
+	balancer->listing = host_listing_create(revision);
 }
 
-static void heartbeat_received(void *context, uint64_t sender_id,
-			       const struct heartbeat *heartbeat)
+static void listing_end(void *context)
 {
 	struct balancer *balancer = context;
 
-	revision_sync_handle_heartbeat(balancer->revision_sync, sender_id,
-				       heartbeat);
+	host_listing_finish(balancer->listing,
+			    steering_hosts(balancer->steering),
+			    clock_now_ns(balancer->clock));
+	g_clear_pointer(&balancer->listing, host_listing_destroy);
+	if (!balancer->knowledge.is_complete)
+		log_event(LOG_LEVEL_INFO, "listing_complete",
+			  "hosts=%u source=%s",
+			  host_table_count(steering_hosts(balancer->steering)),
+			  balancer->knowledge.source);
+	balancer->knowledge.is_complete = true;
 }
 
-static void core_message_received(void *context, uint64_t sender_id,
-				  const struct core_message *message)
+/*
+ * The platform does not tell when routes were published; it was after the
+ * routes before them were last confirmed to be current. -1 for the first ones.
+ */
+static int64_t routes_delay_ms(struct balancer *balancer)
 {
-	struct balancer *balancer = context;
-
-	core_handle_message(balancer->core, sender_id, message);
+	int64_t confirmed_ns = balancer->knowledge.confirmed_ns;
+	int64_t delay_ms;
+
+	if (confirmed_ns == 0)
+		return -1;
+	delay_ms = (clock_now_ns(balancer->clock) - confirmed_ns) / NS_PER_MS;
+	histogram_record(&balancer->routes_delay_ms, (uint64_t)delay_ms);
+	return delay_ms;
 }
 
-static void revision_message_received(void *context, uint64_t sender_id,
-				      const struct peer_message *message)
+void balancer_routing_apply(struct balancer *balancer, struct routing *routing)
 {
-	struct balancer *balancer = context;
-
-	revision_sync_handle_message(balancer->revision_sync, sender_id,
-				     message);
+	if (!steering_set_routing(balancer->steering, routing))
+		return;
+	log_event(LOG_LEVEL_INFO, "routes_applied",
+		  "version=%" PRIu64 " routes=%zu idle_timeout_ms=%u "
+		  "revision=%" PRIu64 " source=%s delay_ms=%" PRId64,
+		  routing->version, routing->rule_count,
+		  routing->idle_timeout_ms, balancer->knowledge.revision,
+		  balancer->knowledge.source, routes_delay_ms(balancer));
 }
 
-static void revision_message_send(void *context, uint64_t member_id,
-				  const struct peer_message *message)
+static void store_item_apply(void *context, const struct store_item *item)
 {
 	struct balancer *balancer = context;
-	bool is_bulk = message->part_bytes > REVISION_BULK_BYTES;
-
-	peering_send(balancer->peering, member_id, message,
-		     is_bulk ? MESSAGE_PRIORITY_SHARD
-			     : MESSAGE_PRIORITY_REVISION);
-}
+	struct host_table *hosts = steering_hosts(balancer->steering);
+	int64_t now_ns = clock_now_ns(balancer->clock);
 
-/* Takes over a reference to @configuration. */
-static void configuration_apply(struct balancer *balancer,
-				struct configuration *configuration,
-				const char *source)
-{
-	if (!core_apply_configuration(balancer->core, configuration)) {
-		balancer->stale_revisions++;
-		configuration_unref(configuration);
-		return;
+	balancer->knowledge.source = "store";
+	switch (item->kind) {
+	case STORE_ITEM_HOST:
+		if (balancer->listing)
+			host_listing_put(balancer->listing, hosts, &item->host,
+					 now_ns);
+		else
+			host_table_put(hosts, &item->host, now_ns);
+		break;
+	case STORE_ITEM_HOST_REMOVED:
+		host_table_remove(hosts, item->host.id, item->revision, now_ns);
+		break;
+	case STORE_ITEM_ROUTING:
+		balancer_routing_apply(balancer, item->routing);
+		break;
+	case STORE_ITEM_FOREIGN:
+		if (item->problem) {
+			char *key = g_strescape(item->key, NULL);
+
+			log_event(LOG_LEVEL_WARNING, "entry_ignored",
+				  "key=\"%s\" revision=%" PRIu64
+				  " reason=\"%s\"",
+				  key, item->revision, item->problem);
+			g_free(key);
+		}
+		break;
 	}
-	if (balancer->configuration)
-		configuration_unref(balancer->configuration);
-	balancer->configuration = configuration;
-	balancer->revision_source = source;
-	balancer->revision_applied_ns = clock_now_ns(balancer->clock);
-	membership_set_revision(peering_membership(balancer->peering),
-				configuration->revision, configuration->digest);
-	revision_sync_set_current(balancer->revision_sync, configuration);
-	if (balancer->platform)
-		registry_set_current(balancer->platform, configuration);
-	log_event(LOG_LEVEL_INFO, "revision_applied",
-		  "revision=%" G_GUINT64_FORMAT " source=%s services=%zu",
-		  configuration->revision, source,
-		  configuration->service_count);
 }
 
-static void platform_revision(void *context,
-			      struct configuration *configuration)
-{
-	configuration_apply(context, configuration, "platform");
-}
-
-static void peer_revision(void *context, struct configuration *configuration)
-{
-	configuration_apply(context, configuration, "peer");
-}
-
-static void reader_changed(void *context, bool is_reader)
+static void store_current(void *context, uint64_t revision,
+			  int64_t confirmed_ns)
 {
 	struct balancer *balancer = context;
+	struct knowledge *knowledge = &balancer->knowledge;
+	bool is_newer = revision > knowledge->revision;
 
-	if (!balancer->platform)
-		return;
-	registry_set_watching(balancer->platform, is_reader);
-	log_event(LOG_LEVEL_INFO, "reader_changed", "reader=%d", is_reader);
-}
-
-static void revision_refused(void *context, uint64_t revision,
-			     const struct error *error)
-{
-	struct balancer *balancer = context;
-	char *reason = g_strescape(error->detail, NULL);
-
-	balancer->refused_revisions++;
-	balancer->refused_revision = revision;
-	g_strlcpy(balancer->refused_reason, error->detail,
-		  sizeof(balancer->refused_reason));
-	log_event(LOG_LEVEL_ERROR, "revision_refused",
-		  "revision=%" G_GUINT64_FORMAT " kind=%s reason=\"%s\"",
-		  revision, error_answer(error->kind)->name, reason);
-	g_free(reason);
+	knowledge->revision = MAX(knowledge->revision, revision);
+	knowledge->confirmed_ns = MAX(knowledge->confirmed_ns, confirmed_ns);
+	if (is_newer)
+		sharing_push(balancer->sharing);
 }
 
-static void instances_listed(void *context,
-			     const struct listed_instance *instances,
-			     size_t instance_count)
+static void store_reachable(void *context, bool is_reachable,
+			    const char *reason)
 {
 	struct balancer *balancer = context;
-	const struct settings *settings = balancer->settings;
-
-	for (size_t i = 0; i < settings->peer_count; i++) {
-		const char *name = settings->peers[i].instance_id;
-		bool is_listed = false;
-
-		for (size_t j = 0; j < instance_count && !is_listed; j++)
-			is_listed = g_str_equal(instances[j].id, name);
-		membership_set_listed(peering_membership(balancer->peering),
-				      instance_id_hash(name), is_listed);
-	}
+	int64_t now_ns = clock_now_ns(balancer->clock);
+	int64_t away_ns = 0;
+	char *text = g_strescape(reason, NULL);
+
+	if (is_reachable && balancer->unreachable_since_ns != 0)
+		away_ns = now_ns - balancer->unreachable_since_ns;
+	balancer->unreachable_since_ns = is_reachable ? 0 : now_ns;
+	log_event(is_reachable ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+		  is_reachable ? "store_regained" : "store_lost",
+		  "reason=\"%s\" away_ms=%" PRId64 " revision=%" PRIu64, text,
+		  away_ns / NS_PER_MS, balancer->knowledge.revision);
+	g_free(text);
 }
 
 /*
- * Packets that waited in the sockets during a pause are old: callers have
- * repeated them, and an old SYN could open a second backend server. Returns
- * false while packets have to be dropped.
+ * Packets that waited in the socket during a pause are old: callers have
+ * repeated them, and what is known of the hosts is old too.
  */
-static bool pause_check(struct balancer *balancer)
+static bool pause_check(void *context)
 {
+	struct balancer *balancer = context;
 	int64_t now_ns = clock_now_ns(balancer->clock);
+	int64_t gap_ns = now_ns - balancer->awake_ns;
 
-	if (now_ns - balancer->awake_ns > PAUSE_MS * NS_PER_MS)
+	if (gap_ns > PAUSE_NS) {
 		balancer->discard_until_ns = now_ns + WAKE_DISCARD_NS;
+		steering_set_informed(balancer->steering, false);
+		sharing_wake(balancer->sharing);
+		log_event(LOG_LEVEL_WARNING, "pause_ended",
+			  "paused_ms=%" PRId64, gap_ns / NS_PER_MS);
+	}
 	balancer->awake_ns = now_ns;
 	return now_ns >= balancer->discard_until_ns;
 }
 
-static bool batch_begin(void *context)
+static bool ready_now(const struct balancer *balancer)
+{
+	return !balancer->is_leaving && balancer->knowledge.is_complete &&
+	       steering_routing(balancer->steering) != NULL &&
+	       !steering_is_isolated(balancer->steering);
+}
+
+static void ready_update(struct balancer *balancer)
+{
+	bool is_ready = ready_now(balancer);
+
+	if (is_ready == balancer->is_ready)
+		return;
+	balancer->is_ready = is_ready;
+	log_event(LOG_LEVEL_INFO, "readiness_changed",
+		  "ready=%d complete=%d leaving=%d isolated=%d", is_ready,
+		  balancer->knowledge.is_complete, balancer->is_leaving,
+		  steering_is_isolated(balancer->steering));
+}
+
+static bool is_ready(void *context)
 {
 	struct balancer *balancer = context;
-	bool may_forward = pause_check(balancer);
 
-	membership_tick(peering_membership(balancer->peering));
-	return may_forward;
+	ready_update(balancer);
+	return balancer->is_ready;
 }
 
 static bool shutdown_is_finished(const struct balancer *balancer)
 {
 	int64_t now_ns = clock_now_ns(balancer->clock);
-	int64_t deadline_ns = balancer->leaving_since_ns +
-			      balancer->settings->drain_deadline_s * NS_PER_S;
+	int64_t since_ns = now_ns - balancer->leaving_since_ns;
 
-	if (now_ns >= deadline_ns)
+	if (since_ns >= balancer->settings->stop_deadline_ms * NS_PER_MS)
 		return true;
-	return core_has_left(balancer->core) &&
+	return since_ns >= FABRIC_QUIET_NS &&
 	       now_ns - balancer->last_packet_ns >= FABRIC_QUIET_NS;
 }
 
 static void packets_note(struct balancer *balancer)
 {
-	uint64_t packets = forwarder_fabric_packets(balancer->forwarder);
+	uint64_t packets = forwarder_packets(balancer->forwarder);
 
 	if (packets == balancer->last_packets)
 		return;
@@ -210,32 +231,58 @@
 	balancer->last_packet_ns = clock_now_ns(balancer->clock);
 }
 
-/* At start, and again after each pause, which puts the member back. */
-static void activate_if_ready(struct balancer *balancer)
+static void settings_reload(struct balancer *balancer, const char *cause)
 {
-	struct membership *membership = peering_membership(balancer->peering);
-	const struct member_view *view = membership_view(membership);
-
-	balancer->is_active = view->members[view->self].state == MEMBER_ACTIVE;
-	if (balancer->is_leaving || balancer->is_active || view->is_rejoining ||
-	    !core_is_synchronized(balancer->core))
+	struct error error = { 0 };
+	struct settings *settings =
+		settings_load(balancer->settings_path, &error);
+	char *changed;
+
+	if (!settings) {
+		log_event(LOG_LEVEL_ERROR, "settings_refused",
+			  "cause=%s reason=\"%s\"", cause, error.detail);
 		return;
-	membership_set_active(membership);
-	log_event(LOG_LEVEL_INFO, "balancer_active",
-		  "revision=%" G_GUINT64_FORMAT, core_revision(balancer->core));
+	}
+	changed = settings_diff(balancer->settings, settings);
+	if (*changed != '\0') {
+		log_event(LOG_LEVEL_INFO, "settings_reloaded",
+			  "cause=%s changed=%s", cause, changed);
+		/* Sockets stay; what is read at each use is replaced. */
+		g_strfreev(balancer->settings->seeds);
+		balancer->settings->seeds = g_strdupv(settings->seeds);
+		balancer_seeds_set(balancer);
+		balancer->settings->decision_lines_per_s =
+			settings->decision_lines_per_s;
+		balancer->settings->stop_deadline_ms =
+			settings->stop_deadline_ms;
+		line_bounds_init(balancer);
+	}
+	g_free(changed);
+	settings_destroy(settings);
 }
 
 static gboolean tick(gpointer context)
 {
 	struct balancer *balancer = context;
-	struct membership *membership = peering_membership(balancer->peering);
+	int64_t now_ns;
 
 	pause_check(balancer);
-	membership_tick(membership);
-	core_tick(balancer->core);
-	revision_sync_tick(balancer->revision_sync);
+	now_ns = clock_now_ns(balancer->clock);
+	steering_set_informed(
+		balancer->steering,
+		balancer->knowledge.is_complete &&
+			now_ns - balancer->knowledge.confirmed_ns < CURRENT_NS);
+	steering_tick(balancer->steering);
+	sharing_tick(balancer->sharing);
+	edge_flush(balancer->sharing_edge);
+	forwarder_flush(balancer->forwarder);
 	packets_note(balancer);
-	activate_if_ready(balancer);
+	ready_update(balancer);
+	if (balancer->ticks++ % TICKS_PER_S == 0)
+		line_bounds_summarize(balancer);
+	if (balancer->ticks % SETTINGS_CHECK_TICKS == 0)
+		settings_reload(balancer, "change");
+	log_flush();
 	if (balancer->is_leaving && shutdown_is_finished(balancer))
 		g_main_loop_quit(balancer->loop);
 	return G_SOURCE_CONTINUE;
@@ -249,130 +296,116 @@
 		return G_SOURCE_CONTINUE;
 	balancer->is_leaving = true;
 	balancer->leaving_since_ns = clock_now_ns(balancer->clock);
-	log_event(LOG_LEVEL_INFO, "balancer_leaving", "deadline_s=%u",
-		  balancer->settings->drain_deadline_s);
-	membership_leave(peering_membership(balancer->peering));
-	core_leave(balancer->core);
+	log_event(LOG_LEVEL_INFO, "balancer_leaving", "deadline_ms=%u",
+		  balancer->settings->stop_deadline_ms);
 	return G_SOURCE_CONTINUE;
 }
 
-static bool files_apply(struct balancer *balancer, struct error *error)
+static gboolean reload_requested(gpointer context)
 {
-	char **files = balancer->settings->configuration_files;
-	struct configuration *configuration;
-
-	if (!files || !files[0])
-		return true;
-	configuration =
-		configuration_load_files(files, g_strv_length(files), 1, error);
-	if (!configuration)
-		return false;
-	configuration_apply(balancer, configuration, "files");
-	return true;
+	settings_reload(context, "signal");
+	return G_SOURCE_CONTINUE;
 }
 
-static bool peering_open(struct balancer *balancer, struct error *error)
+static void steering_open(struct balancer *balancer)
 {
-	const struct peering_options options = {
-		.settings = balancer->settings,
+	const struct steering_options options = {
 		.clock = balancer->clock,
+		.zone = balancer->settings->zone,
+		.flows_max = balancer->settings->flows_max,
+		.flow_age_max_s = balancer->settings->flow_age_max_s,
 		.random_seed = balancer->random_seed,
-		.on_view = view_apply,
-		.on_heartbeat = heartbeat_received,
-		.on_core_message = core_message_received,
-		.on_revision_message = revision_message_received,
+		.reset = flow_reset,
+		.probe = host_probe_start,
+		.find_token = token_find,
+		.on_host_changed = host_log_changed,
+		.on_host_ended = host_log_ended,
+		.on_host_silence = host_log_silence,
+		.on_host_slowness = host_log_slowness,
 		.context = balancer,
 	};
 
-	balancer->peering = peering_create(&options, error);
-	return balancer->peering != NULL;
+	balancer->steering = steering_create(&options);
 }
 
-static void core_open(struct balancer *balancer)
+static bool forwarder_open(struct balancer *balancer, struct error *error)
 {
-	const struct settings *settings = balancer->settings;
-	const struct core_options options = {
-		.self_id = instance_id_hash(settings->instance_id),
-		.zone_name = settings->zone,
+	const struct forwarder_options options = {
+		.settings = balancer->settings,
 		.clock = balancer->clock,
-		.flow_hash_seed = settings->flow_hash_seed,
-		.random_seed = balancer->random_seed,
-		.exceptions_max = settings->exceptions_max,
-		.send = core_send,
-		.budget_bytes = core_budget,
+		.steering = balancer->steering,
+		.on_batch_begin = pause_check,
+		.on_decision = flow_log_decision,
 		.context = balancer,
 	};
 
-	balancer->core = core_create(&options);
+	balancer->forwarder = forwarder_create(&options, error);
+	return balancer->forwarder != NULL;
 }
 
-static void revision_sync_open(struct balancer *balancer)
+static bool readiness_open(struct balancer *balancer, struct error *error)
 {
-	const struct revision_sync_options options = {
-		.self_id = instance_id_hash(balancer->settings->instance_id),
-		.clock = balancer->clock,
-		.random_seed = balancer->random_seed,
-		.send = revision_message_send,
-		.peer_count = balancer->settings->peer_count,
-		.on_configuration = peer_revision,
-		.on_refused = revision_refused,
-		.on_reader = reader_changed,
+	const struct readiness_options options = {
+		.address = balancer->settings->readiness_endpoint,
+		.is_ready = is_ready,
 		.context = balancer,
 	};
 
-	balancer->revision_sync = revision_sync_create(&options);
+	balancer->readiness = readiness_create(&options, error);
+	return balancer->readiness != NULL;
 }
 
-static void platform_open(struct balancer *balancer)
+static void store_open(struct balancer *balancer)
 {
-	const struct registry_options options = {
-		.url = balancer->settings->platform_url,
+	const struct store_options options = {
+		.address = balancer->settings->store_endpoint,
 		.clock = balancer->clock,
 		.random_seed = balancer->random_seed,
-		.watch_wait_ms = 30000,
-		.on_revision = platform_revision,
-		.on_refused = revision_refused,
-		.on_instances = instances_listed,
+		.watch_wait_ms = WATCH_WAIT_MS,
+		.answer_timeout_ms = ANSWER_TIMEOUT_MS,
+		.batch_ms = BATCH_MS,
+		.on_listing_begin = listing_begin,
+		.on_listing_end = listing_end,
+		.on_item = store_item_apply,
+		.on_current = store_current,
+		.on_reachable = store_reachable,
 		.context = balancer,
 	};
 
-	if (balancer->settings->platform_url[0])
-		balancer->platform = registry_create(&options);
-	if (balancer->platform)
-		registry_set_watching(
-			balancer->platform,
-			revision_sync_is_reader(balancer->revision_sync));
+	balancer->store = store_create(&options);
 }
 
-struct balancer *balancer_create(const struct settings *settings,
-				 const struct clock *clock, struct error *error)
+struct balancer *balancer_create(const char *path, const struct clock *clock,
+				 struct error *error)
 {
-	struct balancer *balancer = g_new0(struct balancer, 1);
-	struct forwarder_options forwarder_options = {
-		.settings = settings,
-		.on_batch_begin = batch_begin,
-		.context = balancer,
-	};
+	struct balancer *balancer;
+	struct settings *settings = settings_load(path, error);
 
+	if (!settings)
+		return NULL;
+	balancer = g_new0(struct balancer, 1);
 	balancer->settings = settings;
+	balancer->settings_path = g_strdup(path);
 	balancer->clock = clock;
-	/* Jitter must differ between instances; decisions do not use it. */
-	balancer->random_seed = instance_id_hash(settings->instance_id) ^
+	log_open(settings->log_level, settings->instance_id);
+	log_set_buffered(true);
+	/* Choices must differ between instances that start together. */
+	balancer->random_seed = XXH3_64bits(settings->instance_id,
+					    strlen(settings->instance_id)) ^
 				(uint64_t)g_get_real_time();
-	balancer->revision_source = "none";
 	balancer->loop = g_main_loop_new(NULL, FALSE);
-	core_open(balancer);
-	revision_sync_open(balancer);
-	if (!peering_open(balancer, error))
+	line_bounds_init(balancer);
+	balancer->probes = g_hash_table_new(NULL, NULL);
+	balancer->knowledge.source = "none";
+	steering_open(balancer);
+	if (!balancer_sharing_open(balancer, error))
 		goto fail;
-	forwarder_options.core = balancer->core;
-	balancer->forwarder = forwarder_create(&forwarder_options, error);
-	if (!balancer->forwarder)
+	if (!forwarder_open(balancer, error))
 		goto fail;
-	if (!balancer_admin_open(balancer, error))
+	if (!readiness_open(balancer, error))
 		goto fail;
-	platform_open(balancer);
-	if (!files_apply(balancer, error))
+	store_open(balancer);
+	if (!balancer_admin_open(balancer, error))
 		goto fail;
 	return balancer;
 fail:
@@ -384,37 +417,41 @@
 {
 	if (!balancer)
 		return;
-	if (balancer->platform)
-		registry_destroy(balancer->platform);
 	balancer_admin_close(balancer);
+	host_probes_cancel(balancer);
+	store_destroy(balancer->store);
+	host_listing_destroy(balancer->listing);
+	readiness_destroy(balancer->readiness);
 	forwarder_destroy(balancer->forwarder);
-	peering_destroy(balancer->peering);
-	revision_sync_destroy(balancer->revision_sync);
-	core_destroy(balancer->core);
-	if (balancer->configuration)
-		configuration_unref(balancer->configuration);
+	balancer_sharing_close(balancer);
+	steering_destroy(balancer->steering);
 	g_main_loop_unref(balancer->loop);
+	log_close();
+	settings_destroy(balancer->settings);
+	g_free(balancer->settings_path);
 	g_free(balancer);
 }
 
 void balancer_run(struct balancer *balancer)
 {
 	guint sources[] = {
-		g_timeout_add(CORE_TICK_MS, tick, balancer),
+		g_timeout_add(STEERING_TICK_MS, tick, balancer),
 		g_unix_signal_add(SIGTERM, shutdown_begin, balancer),
 		g_unix_signal_add(SIGINT, shutdown_begin, balancer),
+		g_unix_signal_add(SIGHUP, reload_requested, balancer),
 	};
 
-	balancer->last_packet_ns = clock_now_ns(balancer->clock);
-	balancer->awake_ns = balancer->last_packet_ns;
+	balancer->awake_ns = clock_now_ns(balancer->clock);
+	balancer->last_packet_ns = balancer->awake_ns;
 	log_event(LOG_LEVEL_INFO, "balancer_started",
-		  "zone=%s data=%s:%u peers=%zu", balancer->settings->zone,
-		  balancer->settings->data_address,
-		  balancer->settings->data_port,
-		  balancer->settings->peer_count);
+		  "zone=%s packets=%s control=%s store=%s",
+		  balancer->settings->zone, balancer->settings->packet_endpoint,
+		  balancer->settings->control_endpoint,
+		  balancer->settings->store_endpoint);
+	store_set_following(balancer->store, true);
 	g_main_loop_run(balancer->loop);
 	for (size_t i = 0; i < G_N_ELEMENTS(sources); i++)
 		g_source_remove(sources[i]);
-	log_event(LOG_LEVEL_INFO, "balancer_stopped",
-		  "packets=%" G_GUINT64_FORMAT, balancer->last_packets);
+	log_event(LOG_LEVEL_INFO, "balancer_stopped", "packets=%" PRIu64,
+		  forwarder_packets(balancer->forwarder));
 }
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -1,150 +1,258 @@
+#include <inttypes.h>
+
 #include "balancer_private.h"
+#include "common/endpoint.h"
 #include "common/json_member.h"
+#include "common/log.h"
+
+static const char *const gauge_names[BALANCER_GAUGES] = {
+	[GAUGE_FLOWS] = "flows",
+	[GAUGE_HOSTS] = "hosts",
+	[GAUGE_READY] = "ready",
+	[GAUGE_READING] = "reading",
+	[GAUGE_ROUTES_VERSION] = "routes_version",
+	[GAUGE_REVISION] = "revision",
+	[GAUGE_KNOWLEDGE_AGE_MS] = "knowledge_age_ms",
+};
+
+static const char *const total_names[BALANCER_TOTALS] = {
+	[TOTAL_LOG_BYTES] = "log_bytes",
+	[TOTAL_LOG_DROPPED_LINES] = "log_dropped_lines",
+	[TOTAL_LOG_LEFT_OUT_LINES] = "log_left_out_lines",
+	[TOTAL_STORE_CALLS] = "store_calls",
+	[TOTAL_EVICTIONS] = "evictions",
+	[TOTAL_STRANGERS] = "strangers",
+};
+
+static int64_t age_ms(const struct balancer *balancer, int64_t since_ns)
+{
+	if (since_ns == 0)
+		return -1;
+	return (clock_now_ns(balancer->clock) - since_ns) / NS_PER_MS;
+}
 
-static const char *host_state_name(enum host_state state)
+static void values_take(struct balancer *balancer)
 {
-	return state == HOST_DRAINING ? "draining" : "serving";
+	const struct routing *routing = steering_routing(balancer->steering);
+	const struct knowledge *knowledge = &balancer->knowledge;
+	uint64_t *gauges = balancer->gauges;
+	uint64_t *totals = balancer->totals;
+
+	gauges[GAUGE_FLOWS] = steering_flow_count(balancer->steering);
+	gauges[GAUGE_HOSTS] =
+		host_table_count(steering_hosts(balancer->steering));
+	gauges[GAUGE_READY] = balancer->is_ready;
+	gauges[GAUGE_READING] = sharing_is_reading(balancer->sharing);
+	gauges[GAUGE_ROUTES_VERSION] = routing ? routing->version : 0;
+	gauges[GAUGE_REVISION] = knowledge->revision;
+	gauges[GAUGE_KNOWLEDGE_AGE_MS] =
+		(uint64_t)MAX(age_ms(balancer, knowledge->confirmed_ns), 0);
+	totals[TOTAL_LOG_BYTES] = log_written_bytes();
+	totals[TOTAL_LOG_DROPPED_LINES] = log_dropped_lines();
+	totals[TOTAL_STORE_CALLS] = store_call_count(balancer->store);
+	totals[TOTAL_EVICTIONS] = steering_eviction_count(balancer->steering);
+}
+
+static void host_print(const struct balancer *balancer,
+		       const struct known_host *host, JsonBuilder *builder)
+{
+	const struct host_announcement *published = &host->published;
+	char text[IP_ADDRESS_TEXT_BYTES];
+	char token[9];
+
+	json_builder_begin_object(builder);
+	json_member_string(builder, "id", published->id);
+	g_snprintf(token, sizeof(token), "%08x", host->token);
+	json_member_string(builder, "token", token);
+	json_member_string(builder, "service", published->service);
+	json_member_string(builder, "availability_zone", published->zone);
+	json_member_string(builder, "address",
+			   ip_address_print(&published->address, text));
+	json_member_integer(builder, "port", published->port);
+	json_member_string(builder, "state",
+			   host->is_gone	    ? "gone"
+			   : published->is_draining ? "draining"
+						    : "ready");
+	json_member_integer(builder, "slots", published->slots);
+	json_member_integer(builder, "born_ms", (int64_t)published->born_ms);
+	json_member_integer(builder, "revision", (int64_t)published->revision);
+	json_member_integer(builder, "open_flows", host->open_flows);
+	json_member_integer(builder, "peer_flows", host->peer_flows);
+	json_member_boolean(builder, "is_silent",
+			    evidence_is_silent(&host->evidence));
+	json_member_integer(builder, "misses", host->evidence.misses);
+	json_member_integer(builder, "progress_age_ms",
+			    age_ms(balancer, host->evidence.progress_ns));
+	json_builder_end_object(builder);
 }
 
-static void hosts_print(const struct service *service, JsonBuilder *builder)
+static void hosts_print(struct balancer *balancer, JsonBuilder *builder)
 {
+	GHashTable *hosts = host_table_all(steering_hosts(balancer->steering));
+	GHashTableIter iterator;
+	gpointer value;
+
 	json_builder_set_member_name(builder, "hosts");
 	json_builder_begin_array(builder);
-	for (size_t i = 0; i < service->host_count; i++) {
-		const struct host *host = &service->hosts[i];
-
-		json_builder_begin_object(builder);
-		json_member_string(builder, "name", host->name);
-		json_member_string(builder, "availability_zone", host->zone);
-		json_member_string(builder, "state",
-				   host_state_name(host->state));
-		json_builder_set_member_name(builder, "id");
-		json_builder_add_int_value(builder, host->id);
-		json_builder_end_object(builder);
-	}
+	g_hash_table_iter_init(&iterator, hosts);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		host_print(balancer, value, builder);
 	json_builder_end_array(builder);
 }
 
-static bool service_print(void *context, const char *name, JsonBuilder *builder,
-			  struct error *error)
+/* Each belief with its source, version and age. */
+static void knowledge_print(const struct balancer *balancer,
+			    JsonBuilder *builder)
 {
-	const struct balancer *balancer = context;
-	const struct service *service = NULL;
-
-	if (balancer->configuration)
-		service = configuration_service_by_name(balancer->configuration,
-							name);
-	if (!service)
-		return error_set(error, ERROR_NOT_FOUND, "no service '%s'",
-				 name);
+	const struct knowledge *knowledge = &balancer->knowledge;
+	const struct routing *routing = steering_routing(balancer->steering);
+
+	json_builder_set_member_name(builder, "knowledge");
 	json_builder_begin_object(builder);
-	json_member_string(builder, "name", service->name);
-	json_member_string(builder, "team", service->team);
-	json_member_string(builder, "profile", service->profile->name);
-	json_builder_set_member_name(builder, "revision");
-	json_builder_add_int_value(builder,
-				   (gint64)balancer->configuration->revision);
-	hosts_print(service, builder);
+	json_member_string(builder, "source", knowledge->source);
+	json_member_boolean(builder, "is_complete", knowledge->is_complete);
+	json_member_integer(builder, "revision", (int64_t)knowledge->revision);
+	json_member_integer(builder, "age_ms",
+			    age_ms(balancer, knowledge->confirmed_ns));
+	json_member_integer(builder, "store_away_ms",
+			    age_ms(balancer, balancer->unreachable_since_ns));
+	json_member_integer(builder, "routes_version",
+			    routing ? (int64_t)routing->version : 0);
+	json_member_integer(builder, "routes",
+			    routing ? (int64_t)routing->rule_count : 0);
 	json_builder_end_object(builder);
-	return true;
 }
 
-static bool explain_print(void *context, const struct flow_key *key,
-			  JsonBuilder *builder, struct error *error)
+static void members_print(void *context, JsonBuilder *builder)
 {
 	const struct balancer *balancer = context;
-	struct core_action action;
 
-	(void)error;
-	core_explain(balancer->core, key, &action);
 	json_builder_begin_object(builder);
-	json_member_string(builder, "action", core_action_name(action.kind));
-	json_member_string(builder, "rule", core_reason_name(action.reason));
-	if (action.service)
-		json_member_string(builder, "service", action.service->name);
-	if (action.kind == CORE_FORWARD && action.host)
-		json_member_string(builder, "host", action.host->name);
-	if (action.kind == CORE_PASS_ON)
-		json_member_string(builder, "instance",
-				   peering_member_name(balancer->peering,
-						       action.member_id));
+	sharing_print_json(balancer->sharing, builder);
 	json_builder_end_object(builder);
-	return true;
 }
 
-static void members_print(void *context, JsonBuilder *builder)
+static void state_print(void *context, JsonBuilder *builder)
 {
-	const struct balancer *balancer = context;
+	struct balancer *balancer = context;
 
+	values_take(balancer);
 	json_builder_begin_object(builder);
-	peering_print_json(balancer->peering, builder);
+	json_member_string(builder, "instance_id",
+			   balancer->settings->instance_id);
+	json_member_string(builder, "availability_zone",
+			   balancer->settings->zone);
+	json_member_boolean(builder, "is_ready", balancer->is_ready);
+	json_member_boolean(builder, "is_leaving", balancer->is_leaving);
+	json_member_boolean(builder, "is_isolated",
+			    steering_is_isolated(balancer->steering));
+	knowledge_print(balancer, builder);
+	json_builder_set_member_name(builder, "sharing");
+	members_print(balancer, builder);
+	hosts_print(balancer, builder);
+	json_builder_set_member_name(builder, "counters");
+	json_builder_begin_object(builder);
+	counter_registry_print_json(balancer->counters, builder);
+	json_builder_end_object(builder);
 	json_builder_end_object(builder);
 }
 
-static void counters_append(JsonNode *node, GString *prefix, GString *text);
+static bool explain_print(void *context, const struct flow_key *key,
+			  JsonBuilder *builder, struct error *error)
+{
+	struct balancer *balancer = context;
+	const struct cached_flow *flow =
+		steering_find_flow(balancer->steering, key);
+	enum steering_reason reason = steering_explain(balancer->steering, key);
 
-static void member_append(JsonObject *object, const gchar *name, JsonNode *node,
-			  gpointer context)
+	(void)error;
+	json_builder_begin_object(builder);
+	json_member_string(builder, "rule", steering_reason_names[reason]);
+	json_member_boolean(builder, "is_known", flow != NULL);
+	if (flow) {
+		json_member_integer(builder, "repeats", flow->repeats);
+		json_member_integer(builder, "packet_age_ms",
+				    age_ms(balancer, flow->last_packet_ns));
+	}
+	if (flow && flow->host) {
+		json_builder_set_member_name(builder, "host");
+		host_print(balancer, flow->host, builder);
+	}
+	knowledge_print(balancer, builder);
+	json_builder_end_object(builder);
+	return true;
+}
+
+static void counters_print(void *context, GString *text)
 {
-	GString **buffers = context;
-	gsize length = buffers[0]->len;
-
-	(void)object;
-	if (length > 0)
-		g_string_append_c(buffers[0], '_');
-	g_string_append(buffers[0], name);
-	counters_append(node, buffers[0], buffers[1]);
-	g_string_truncate(buffers[0], length);
+	struct balancer *balancer = context;
+
+	values_take(balancer);
+	counter_registry_print_text(balancer->counters, text);
 }
 
-/* Arrays are left out: their elements have no stable names. */
-static void counters_append(JsonNode *node, GString *prefix, GString *text)
+static void metrics_print(void *context, GString *text)
 {
-	GString *buffers[] = { prefix, text };
-
-	if (JSON_NODE_HOLDS_OBJECT(node))
-		json_object_foreach_member(json_node_get_object(node),
-					   member_append, buffers);
-	else if (JSON_NODE_HOLDS_VALUE(node) &&
-		 json_node_get_value_type(node) == G_TYPE_INT64)
-		g_string_append_printf(text, "%s %" G_GINT64_FORMAT "\n",
-				       prefix->str, json_node_get_int(node));
+	struct balancer *balancer = context;
+
+	values_take(balancer);
+	counter_registry_print_metrics(balancer->counters, text);
 }
 
-static void counters_print(void *context, GString *text)
+static void counters_open(struct balancer *balancer)
 {
-	JsonBuilder *builder = json_builder_new();
-	GString *prefix = g_string_new(NULL);
-	JsonNode *root;
-
-	balancer_print_json(context, builder);
-	root = json_builder_get_root(builder);
-	counters_append(root, prefix, text);
-	json_node_unref(root);
-	g_string_free(prefix, TRUE);
-	g_object_unref(builder);
+	struct counter_registry *counters = counter_registry_create();
+
+	balancer->counters = counters;
+	counter_registry_add_gauges(counters, "balancer", gauge_names,
+				    balancer->gauges, BALANCER_GAUGES);
+	counter_registry_add(counters, "total", total_names, balancer->totals,
+			     BALANCER_TOTALS);
+	counter_registry_add(counters, "decisions", steering_reason_names,
+			     steering_reason_counts(balancer->steering),
+			     STEERING_REASONS);
+	counter_registry_add(counters, "sharing", sharing_counter_names,
+			     sharing_counters(balancer->sharing),
+			     SHARING_COUNTERS);
+	forwarder_count(balancer->forwarder, counters);
+	for (int i = 0; i < PROBE_OUTCOMES; i++)
+		balancer->probe_names[i] = probe_outcome_name(i);
+	counter_registry_add(counters, "probes", balancer->probe_names,
+			     balancer->probe_outcomes, PROBE_OUTCOMES);
+	counter_registry_add_histogram(counters, "store_answer_us",
+				       store_answer_times(balancer->store));
+	counter_registry_add_histogram(counters, "poll_answer_us",
+				       sharing_answer_times(balancer->sharing));
+	counter_registry_add_histogram(counters, "host_age_ms",
+				       &balancer->host_age_ms);
+	counter_registry_add_histogram(counters, "routes_delay_ms",
+				       &balancer->routes_delay_ms);
 }
 
 bool balancer_admin_open(struct balancer *balancer, struct error *error)
 {
-	const struct admin_options options = {
-		.address = balancer->settings->admin_address,
-		.port = balancer->settings->admin_port,
-		.token = balancer->settings->admin_token,
-		.print_state = balancer_print_json,
+	struct endpoint endpoint;
+	struct admin_options options = {
+		.print_state = state_print,
 		.print_members = members_print,
-		.print_service = service_print,
 		.print_explain = explain_print,
 		.print_counters = counters_print,
+		.print_metrics = metrics_print,
 		.context = balancer,
 	};
 
+	counters_open(balancer);
+	if (!endpoint_parse(balancer->settings->admin_endpoint, &endpoint))
+		return true;
+	options.address = endpoint.address;
+	options.port = endpoint.port;
 	balancer->admin = admin_create(&options, error);
 	return balancer->admin != NULL;
 }
 
 void balancer_admin_close(struct balancer *balancer)
 {
-	if (balancer->admin)
-		admin_destroy(balancer->admin);
+	admin_destroy(balancer->admin);
+	if (balancer->counters)
+		counter_registry_destroy(balancer->counters);
 }
--- a/parsleyladder/token_log.c
+++ b/parsleyladder/balancer_log.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 
+#include "balancer_private.h"
 #include "common/log.h"
-#include "token_balancer_private.h"
 
 /* "ADDRESS:PORT>ADDRESS:PORT" */
 #define FLOW_TEXT_BYTES (2 * (IP_ADDRESS_TEXT_BYTES + 6) + 2)
@@ -21,7 +21,7 @@
 	[EVENT_HOST_GONE] = "host_gone",
 };
 
-void line_bounds_init(struct token_balancer *balancer)
+void line_bounds_init(struct balancer *balancer)
 {
 	uint32_t rate = balancer->settings->decision_lines_per_s;
 	struct token_bucket *buckets = balancer->line_bounds.buckets;
@@ -34,8 +34,7 @@
 				  HOST_LINES_BURST, now_ns);
 }
 
-static bool line_is_allowed(struct token_balancer *balancer,
-			    enum bounded_event event)
+static bool line_is_allowed(struct balancer *balancer, enum bounded_event event)
 {
 	struct line_bounds *bounds = &balancer->line_bounds;
 
@@ -59,14 +58,14 @@
 	return text;
 }
 
-static int64_t age_ms(const struct token_balancer *balancer, int64_t since_ns)
+static int64_t age_ms(const struct balancer *balancer, int64_t since_ns)
 {
 	return since_ns == 0
 		       ? -1
 		       : (clock_now_ns(balancer->clock) - since_ns) / NS_PER_MS;
 }
 
-static uint64_t routing_version(const struct token_balancer *balancer)
+static uint64_t routing_version(const struct balancer *balancer)
 {
 	const struct routing *routing = steering_routing(balancer->steering);
 
@@ -95,7 +94,7 @@
 void flow_log_decision(void *context, const struct token_packet *packet,
 		       const struct steering_decision *decision)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	const struct known_host *host = decision->host;
 	enum bounded_event event = decision_event(decision);
 	char flow[FLOW_TEXT_BYTES];
@@ -124,8 +123,8 @@
 		  age_ms(balancer, balancer->knowledge.confirmed_ns));
 }
 
-void flow_log_reset(struct token_balancer *balancer,
-		    const struct cached_flow *flow, enum steering_reason reason)
+void flow_log_reset(struct balancer *balancer, const struct cached_flow *flow,
+		    enum steering_reason reason)
 {
 	const struct known_host *host = flow->host;
 	char text[FLOW_TEXT_BYTES];
@@ -145,7 +144,7 @@
 		  age_ms(balancer, balancer->knowledge.confirmed_ns));
 }
 
-void line_bounds_summarize(struct token_balancer *balancer)
+void line_bounds_summarize(struct balancer *balancer)
 {
 	uint64_t *left_out = balancer->line_bounds.left_out;
 
@@ -158,7 +157,7 @@
 	}
 }
 
-static void host_log_published(struct token_balancer *balancer,
+static void host_log_published(struct balancer *balancer,
 			       const struct host_announcement *published,
 			       enum bounded_event event)
 {
@@ -178,7 +177,7 @@
 
 void host_log_changed(void *context, const struct known_host *host, bool is_new)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	enum bounded_event event = is_new ? EVENT_HOST_ADDED
 					  : EVENT_HOST_CHANGED;
 
@@ -193,7 +192,7 @@
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	enum bounded_event event = is_restarted ? EVENT_HOST_RESTARTED
 						: EVENT_HOST_GONE;
 
@@ -211,7 +210,7 @@
 void host_log_silence(void *context, const struct known_host *host,
 		      bool is_silent)
 {
-	const struct token_balancer *balancer = context;
+	const struct balancer *balancer = context;
 
 	log_event(LOG_LEVEL_WARNING, is_silent ? "host_silent" : "host_answers",
 		  "host=%s zone=%s flows=%u misses=%u progress_age_ms=%" PRId64
@@ -224,7 +223,7 @@
 
 void host_log_slowness(void *context, const struct known_host *host)
 {
-	const struct token_balancer *balancer = context;
+	const struct balancer *balancer = context;
 
 	log_event(LOG_LEVEL_WARNING,
 		  host->evidence.is_slow ? "host_slow" : "host_well",
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -2,7 +2,8 @@
 #define PARSLEYLADDER_BALANCER_PRIVATE_H
 
 /**
- * State of the balancer process, shared by its source files.
+ * State of the balancer process whose packets carry tokens, shared by its
+ * source files.
  */
 
 #include <glib.h>
@@ -10,45 +11,129 @@
 #include <stdint.h>
 
 #include "admin/admin.h"
-#include "core/core.h"
+#include "common/counters.h"
+#include "common/token_bucket.h"
+#include "configuration/settings.h"
+#include "edge/connect_probe.h"
+#include "edge/edge.h"
 #include "parsleyladder/balancer.h"
 #include "parsleyladder/forwarder.h"
-#include "parsleyladder/peering.h"
-#include "peer/revision_sync.h"
-#include "registry/registry.h"
+#include "platform/readiness.h"
+#include "platform/store.h"
+#include "sharing/sharing.h"
+#include "steering/steering.h"
+
+/** Events that come in numbers, each with its own bound on lines. */
+enum bounded_event {
+	EVENT_FLOW_PLACED,
+	EVENT_FLOW_REFUSED, /* opening packet that gets a reset */
+	EVENT_FLOW_RESET, /* open flow */
+	EVENT_PACKET_DROPPED,
+	EVENT_HOST_ADDED,
+	EVENT_HOST_CHANGED,
+	EVENT_HOST_RESTARTED,
+	EVENT_HOST_GONE,
+	BOUNDED_EVENTS,
+};
+
+/** Bounds the lines of such events; see balancer_log.c. */
+struct line_bounds {
+	struct token_bucket buckets[BOUNDED_EVENTS];
+	uint64_t left_out[BOUNDED_EVENTS]; /* since the last summary */
+};
+
+/** Values that are taken when they are asked for. */
+enum balancer_gauge {
+	GAUGE_FLOWS,
+	GAUGE_HOSTS,
+	GAUGE_READY,
+	GAUGE_READING,
+	GAUGE_ROUTES_VERSION,
+	GAUGE_REVISION,
+	GAUGE_KNOWLEDGE_AGE_MS,
+	BALANCER_GAUGES,
+};
+
+enum balancer_total {
+	TOTAL_LOG_BYTES,
+	TOTAL_LOG_DROPPED_LINES,
+	TOTAL_LOG_LEFT_OUT_LINES, /* by the bound on lines about flows */
+	TOTAL_STORE_CALLS,
+	TOTAL_EVICTIONS, /* of the flow cache */
+	TOTAL_STRANGERS, /* datagrams from ports of no balancer */
+	BALANCER_TOTALS,
+};
 
 struct balancer {
-	const struct settings *settings;
+	char *settings_path;
+	struct settings *settings;
 	const struct clock *clock;
 	GMainLoop *loop;
 	uint64_t random_seed;
-	struct core *core;
+	struct steering *steering;
 	struct forwarder *forwarder;
-	struct peering *peering;
-	struct revision_sync *revision_sync;
-	struct registry *platform; /* NULL if configured from files */
-	struct admin *admin;
-	struct configuration *configuration; /* in force, or NULL */
-	const char *revision_source; /* "none", "files", "platform", "peer" */
-	int64_t revision_applied_ns;
-	uint64_t stale_revisions;
-	uint64_t refused_revisions;
-	uint64_t refused_revision; /* the last one */
-	char refused_reason[ERROR_DETAIL_BYTES];
-	uint64_t view_version;
-	int64_t awake_ns; /* when the loop last ran */
-	int64_t discard_until_ns; /* packets are dropped before this */
-	bool is_active;
+	struct store *store;
+	struct readiness *readiness;
+	struct admin *admin; /* NULL if there is no admin endpoint */
+	struct counter_registry *counters;
+	GHashTable *probes; /* struct host_probe, as a set */
+	uint64_t probe_outcomes[PROBE_OUTCOMES];
+	const char *probe_names[PROBE_OUTCOMES];
+	uint64_t gauges[BALANCER_GAUGES];
+	uint64_t totals[BALANCER_TOTALS];
+	struct histogram host_age_ms; /* of what is published, at placements */
+	/* Upper bound of the time from their publication to force. */
+	struct histogram routes_delay_ms;
+	struct line_bounds line_bounds;
+	struct sharing *sharing;
+	struct edge *sharing_edge; /* datagrams of other balancers */
+	struct knowledge knowledge;
+	struct host_listing *listing; /* of the store; NULL if none comes */
+	int64_t unreachable_since_ns; /* 0 while the store answers */
+	bool is_ready;
 	bool is_leaving;
 	int64_t leaving_since_ns;
+	int64_t awake_ns; /* when the loop last ran */
+	int64_t discard_until_ns; /* packets are dropped before this */
 	uint64_t last_packets;
 	int64_t last_packet_ns;
+	uint32_t ticks;
 };
 
-/** Opens the administration server; false and @error if it fails. */
+/** Starts with full buckets. */
+void line_bounds_init(struct balancer *balancer);
+/** Logs a decision about a packet of a caller. */
+void flow_log_decision(void *context, const struct token_packet *packet,
+		       const struct steering_decision *decision);
+/** Logs the reset of an open flow that no packet caused. */
+void flow_log_reset(struct balancer *balancer, const struct cached_flow *flow,
+		    enum steering_reason reason);
+/** Logs how many lines were left out, if any. */
+void line_bounds_summarize(struct balancer *balancer);
+/** Logs what changed in what is published of a host. */
+void host_log_changed(void *context, const struct known_host *host,
+		      bool is_new);
+void host_log_ended(void *context, const struct known_host *host,
+		    bool is_restarted);
+void host_log_silence(void *context, const struct known_host *host,
+		      bool is_silent);
+void host_log_slowness(void *context, const struct known_host *host);
+
+/** Finds out whether a host listens. */
+void host_probe_start(void *context, const struct known_host *host);
+/** Ends all probes without an outcome. */
+void host_probes_cancel(struct balancer *balancer);
+
+/** Opens the exchange with other balancers. */
+bool balancer_sharing_open(struct balancer *balancer, struct error *error);
+void balancer_sharing_close(struct balancer *balancer);
+/** Takes over the seeds of the settings. */
+void balancer_seeds_set(struct balancer *balancer);
+/** Puts routes in force if they are newer. */
+void balancer_routing_apply(struct balancer *balancer, struct routing *routing);
+
+/** Opens the administration server, if there is an endpoint for it. */
 bool balancer_admin_open(struct balancer *balancer, struct error *error);
 void balancer_admin_close(struct balancer *balancer);
-/** Writes the whole state of the process as one JSON object. */
-void balancer_print_json(void *context, JsonBuilder *builder);
 
 #endif
--- a/parsleyladder/token_probe.c
+++ b/parsleyladder/balancer_probe.c
@@ -1,11 +1,11 @@
+#include "balancer_private.h"
 #include "common/log.h"
-#include "token_balancer_private.h"
 
 /* Zones are up to 6 ms apart; an answer takes two ways. */
 #define PROBE_TIMEOUT_MS 250
 
 struct host_probe {
-	struct token_balancer *balancer;
+	struct balancer *balancer;
 	struct connect_probe *probe;
 	char id[HOST_ID_BYTES_MAX + 1];
 };
@@ -20,7 +20,7 @@
 static void probe_ended(void *context, enum probe_outcome outcome)
 {
 	struct host_probe *probe = context;
-	struct token_balancer *balancer = probe->balancer;
+	struct balancer *balancer = probe->balancer;
 
 	balancer->probe_outcomes[outcome]++;
 	g_hash_table_remove(balancer->probes, probe);
@@ -32,7 +32,7 @@
 
 void host_probe_start(void *context, const struct known_host *host)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	struct host_probe *probe = g_new0(struct host_probe, 1);
 	const struct connect_probe_options options = {
 		.address = host->published.address,
@@ -50,7 +50,7 @@
 		probe_ended(probe, PROBE_FAILED);
 }
 
-void host_probes_cancel(struct token_balancer *balancer)
+void host_probes_cancel(struct balancer *balancer)
 {
 	GHashTableIter iterator;
 	gpointer key;
--- a/parsleyladder/token_sharing.c
+++ b/parsleyladder/balancer_sharing.c
@@ -1,8 +1,8 @@
 #include <inttypes.h>
 
+#include "balancer_private.h"
 #include "common/endpoint.h"
 #include "common/log.h"
-#include "token_balancer_private.h"
 
 #define RECEIVE_BUFFER_BYTES (256 * 1024)
 
@@ -21,7 +21,7 @@
 static void datagram_send(void *context, uint32_t address, const uint8_t *data,
 			  size_t length)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	struct sockaddr_storage destination;
 	struct ip_address target;
 	socklen_t bytes;
@@ -39,7 +39,7 @@
 static void datagram_handle(void *context, uint8_t *data, size_t length,
 			    const struct sockaddr_storage *source)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	struct ip_address address;
 	uint16_t port;
 
@@ -56,12 +56,12 @@
 
 static void routing_taken(void *context, struct routing *routing)
 {
-	token_balancer_routing_apply(context, routing);
+	balancer_routing_apply(context, routing);
 }
 
 static void reading_changed(void *context, bool is_reading, const char *reason)
 {
-	struct token_balancer *balancer = context;
+	struct balancer *balancer = context;
 	const struct knowledge *knowledge = &balancer->knowledge;
 	int64_t age_ns =
 		clock_now_ns(balancer->clock) - knowledge->confirmed_ns;
@@ -79,7 +79,7 @@
 
 static void leader_changed(void *context, uint32_t leader, const char *reason)
 {
-	const struct token_balancer *balancer = context;
+	const struct balancer *balancer = context;
 	char text[IP_ADDRESS_TEXT_BYTES];
 
 	log_event(LOG_LEVEL_INFO, "leader_changed",
@@ -88,7 +88,7 @@
 		  balancer->knowledge.revision);
 }
 
-void token_balancer_seeds_set(struct token_balancer *balancer)
+void balancer_seeds_set(struct balancer *balancer)
 {
 	char **seeds = balancer->settings->seeds;
 	size_t count = g_strv_length(seeds);
@@ -108,14 +108,14 @@
 	g_free(addresses);
 }
 
-static void sharing_open(struct token_balancer *balancer)
+static void sharing_open(struct balancer *balancer)
 {
-	const struct token_settings *settings = balancer->settings;
+	const struct settings *settings = balancer->settings;
 	const struct sharing_options options = {
 		.clock = balancer->clock,
 		.address = endpoint_number(settings->control_endpoint),
 		.zone = settings->zone,
-		.capacity = token_settings_capacity(settings),
+		.capacity = settings_capacity(settings),
 		.random_seed = balancer->random_seed,
 		.steering = balancer->steering,
 		.knowledge = &balancer->knowledge,
@@ -127,11 +127,10 @@
 	};
 
 	balancer->sharing = sharing_create(&options);
-	token_balancer_seeds_set(balancer);
+	balancer_seeds_set(balancer);
 }
 
-bool token_balancer_sharing_open(struct token_balancer *balancer,
-				 struct error *error)
+bool balancer_sharing_open(struct balancer *balancer, struct error *error)
 {
 	struct endpoint endpoint;
 	struct edge_options options = {
@@ -150,7 +149,7 @@
 	return true;
 }
 
-void token_balancer_sharing_close(struct token_balancer *balancer)
+void balancer_sharing_close(struct balancer *balancer)
 {
 	sharing_destroy(balancer->sharing);
 	edge_destroy(balancer->sharing_edge);
--- a/parsleyladder/commands/balancer.c
+++ b/parsleyladder/commands/balancer.c
@@ -1,39 +1,54 @@
+#include <argp.h>
 #include <stdio.h>
-#include <string.h>
+#include <stdlib.h>
 
 #include "common/clock.h"
 #include "common/log.h"
 #include "parsleyladder/balancer.h"
 #include "parsleyladder/command.h"
-#include "parsleyladder/settings_argument.h"
+
+/* Names the settings file where the command line names none. */
+#define SETTINGS_VARIABLE "PARSLEYLADDER_SETTINGS"
+
+static error_t option_parse(int key, char *argument, struct argp_state *state)
+{
+	const char **path = state->input;
+
+	if (key != ARGP_KEY_ARG)
+		return ARGP_ERR_UNKNOWN;
+	if (state->arg_num > 0)
+		argp_usage(state);
+	*path = argument;
+	return 0;
+}
 
 int command_balancer(int argc, char **argv)
 {
-	char name[] = "parsleyladder balancer";
-	struct settings *settings;
-	struct balancer *balancer;
+	const struct argp argp = {
+		.parser = option_parse,
+		.args_doc = "[FILE]",
+		.doc = "Runs a balancer whose packets carry tokens, with the "
+		       "settings in the JSON file FILE or, without it, in the "
+		       "file that " SETTINGS_VARIABLE " names.",
+	};
+	const char *path = getenv(SETTINGS_VARIABLE);
+	struct balancer *balancer = NULL;
 	struct error error = { 0 };
-	int status;
+	char name[] = "parsleyladder balancer";
 
-	if (argc > 1 && strcmp(argv[1], "--print-settings") == 0)
-		return command_print_settings(argc - 1, argv + 1);
-	settings = settings_argument_load(
-		argc, argv, name,
-		"Runs a balancer with the settings in the JSON file FILE. With "
-		"--print-settings first, it prints them and ends.",
-		&status);
-	if (!settings)
-		return status;
-	log_open(settings->log_level, settings->instance_id);
-	balancer = balancer_create(settings, clock_system(), &error);
-	if (balancer) {
-		balancer_run(balancer);
-		balancer_destroy(balancer);
-	} else {
+	argp_err_exit_status = error_answer(ERROR_USAGE)->exit_code;
+	argv[0] = name;
+	argp_parse(&argp, argc, argv, 0, NULL, &path);
+	if (!path)
+		error_set(&error, ERROR_USAGE, "no settings file is given");
+	else
+		balancer = balancer_create(path, clock_system(), &error);
+	if (!balancer) {
 		fprintf(stderr, "parsleyladder balancer: %s: %s\n",
 			error_answer(error.kind)->name, error.detail);
+		return error_answer(error.kind)->exit_code;
 	}
-	log_close();
-	settings_destroy(settings);
-	return error_answer(error.kind)->exit_code;
+	balancer_run(balancer);
+	balancer_destroy(balancer);
+	return 0;
 }
--- a/parsleyladder/main.c
+++ b/parsleyladder/main.c
@@ -2,18 +2,13 @@
 
 static const struct command commands[] = {
 	{ "balancer", "run a balancer", command_balancer },
-	{ "check-config", "check a configuration, and say what a change does",
-	  command_check_config },
 	{ "check-settings", "check the settings of a process",
 	  command_check_settings },
 	{ "dump", "print the state of a live process", command_dump },
 	{ "explain", "say where a packet of a flow would go, and why",
 	  command_explain },
-	{ "keygen", "print a new key pair for peers", command_keygen },
 	{ "print-settings", "print the settings of a process with defaults",
 	  command_print_settings },
-	{ "token-balancer", "run a balancer whose packets carry tokens",
-	  command_token_balancer },
 	{ "version", "print the version", command_version },
 };
 
--- a/peer/field_codec.c
+++ b/sharing/field_codec.c
@@ -1,4 +1,4 @@
-#include "peer/field_codec.h"
+#include "sharing/field_codec.h"
 
 #include <string.h>
 
--- a/sharing/routing_codec.c
+++ b/sharing/routing_codec.c
@@ -3,8 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "peer/field_codec.h"
 #include "sharing/byte_codec.h"
+#include "sharing/field_codec.h"
 
 /* The first record: version, idle timeout, version of the base, digest. */
 #define HEAD_FIELDS 4
--- a/sharing/sharing_message.c
+++ b/sharing/sharing_message.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "peer/field_codec.h"
 #include "sharing/byte_codec.h"
+#include "sharing/field_codec.h"
 
 /* Changes when the layout of a message does; others are refused. */
 #define FORMAT 2
--- a/standins/soak/fleet.c
+++ b/standins/soak/fleet.c
@@ -62,7 +62,7 @@
 
 void soak_balancer_start(struct soak_balancer *balancer)
 {
-	const char *argv[] = { balancer->soak->binary, "token-balancer",
+	const char *argv[] = { balancer->soak->binary, "balancer",
 			       balancer->settings_path, NULL };
 	struct error error = { 0 };
 
--- a/standins/scenario/process.c
+++ b/standins/soak/process.c
@@ -1,4 +1,4 @@
-#include "standins/scenario/process.h"
+#include "standins/soak/process.h"
 
 #include <gio/gio.h>
 #include <signal.h>
