Take a host that resets accepted connections for a full one

Cause: a probe whose connection was accepted and then reset (ECONNRESET) counted as refused, so the host was taken for dead and its open flows were reset. Hosts over their cap do just that and serve on.

Ruled out: the changes of today (no route changed near the reset; no listing was under way at that balancer); silence by repeated packets (the host had made progress 342 ms before); a restart of the host. A zone cut of the kind "reset" gives refused probes too, but its links count as disturbed.

Change: PROBE_RESET is an outcome of its own and means a full host: it gets no new flow while others can take it and is probed again, but is not given up.

Tests: reset_after_accept_is_no_refusal, full_host_gets_no_new_flow, three cases of probe_results_are_weighed.

--- a/edge/connect_probe.c
+++ b/edge/connect_probe.c
@@ -9,9 +9,8 @@
 #include "edge/socket.h"
 
 static const char *const outcome_names[PROBE_OUTCOMES] = {
-	[PROBE_ACCEPTED] = "accepted",
-	[PROBE_REFUSED] = "refused",
-	[PROBE_TIMEOUT] = "timeout",
+	[PROBE_ACCEPTED] = "accepted", [PROBE_REFUSED] = "refused",
+	[PROBE_RESET] = "reset",       [PROBE_TIMEOUT] = "timeout",
 	[PROBE_FAILED] = "failed",
 };
 
@@ -65,8 +64,10 @@
 		return PROBE_FAILED;
 	if (error == 0)
 		return PROBE_ACCEPTED;
-	if (error == ECONNREFUSED || error == ECONNRESET)
+	if (error == ECONNREFUSED)
 		return PROBE_REFUSED;
+	if (error == ECONNRESET)
+		return PROBE_RESET;
 	return PROBE_TIMEOUT;
 }
 
--- a/include/edge/connect_probe.h
+++ b/include/edge/connect_probe.h
@@ -13,6 +13,7 @@
 enum probe_outcome {
 	PROBE_ACCEPTED,
 	PROBE_REFUSED, /* answered, but nothing listens */
+	PROBE_RESET, /* accepted and then reset: somebody listens */
 	PROBE_TIMEOUT, /* no answer */
 	PROBE_FAILED, /* this instance could not try */
 	PROBE_OUTCOMES,
--- a/include/steering/evidence.h
+++ b/include/steering/evidence.h
@@ -74,6 +74,7 @@
 void evidence_probe_begin(struct host_evidence *evidence, int64_t now_ns);
 enum probe_result {
 	PROBE_RESULT_UP, /* or not known */
+	PROBE_RESULT_FULL, /* somebody listens, and takes no more connections */
 	PROBE_RESULT_DOWN, /* nothing listens */
 	PROBE_RESULT_TIMEOUT,
 };
--- a/steering/evidence.c
+++ b/steering/evidence.c
@@ -123,7 +123,13 @@
 			enum probe_result result, int64_t now_ns)
 {
 	evidence->is_probing = false;
-	evidence->is_refusing = result != PROBE_RESULT_UP;
+	evidence->is_refusing = result == PROBE_RESULT_DOWN ||
+				result == PROBE_RESULT_TIMEOUT;
+	/* The flows that a full host has go on: it is avoided, not given up. */
+	if (result == PROBE_RESULT_FULL && !evidence_is_silent(evidence)) {
+		evidence->probe_timeouts = 0;
+		return false;
+	}
 	if (result == PROBE_RESULT_UP) {
 		evidence->probe_timeouts = 0;
 		evidence->is_overdue = false;
--- a/tests/edge/test_connect_probe.c
+++ b/tests/edge/test_connect_probe.c
@@ -61,6 +61,30 @@
 }
 END_TEST
 
+/* A host that resets what it accepted is up; it was taken for a dead one. */
+START_TEST(reset_after_accept_is_no_refusal) {
+	const struct linger at_once = { .l_onoff = 1 };
+	struct connect_probe_options options = {
+		.timeout_ms = 2000,
+		.on_outcome = outcome_note,
+	};
+	int fd = listener_open(&options.port);
+	int accepted;
+
+	ip_address_parse("127.0.0.1", &options.address);
+	is_over = false;
+	ck_assert_ptr_nonnull(connect_probe_start(&options));
+	accepted = accept(fd, NULL, NULL);
+	ck_assert_int_ge(accepted, 0);
+	setsockopt(accepted, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(accepted);
+	while (!is_over)
+		g_main_context_iteration(NULL, TRUE);
+	ck_assert_int_eq(outcome, PROBE_RESET);
+	close(fd);
+}
+END_TEST
+
 START_TEST(closed_port_refuses) {
 	uint16_t port;
 	int fd = listener_open(&port);
@@ -99,6 +123,7 @@
 	TCase *cases = tcase_create("probe");
 
 	tcase_add_test(cases, listener_accepts);
+	tcase_add_test(cases, reset_after_accept_is_no_refusal);
 	tcase_add_test(cases, closed_port_refuses);
 	tcase_add_test(cases, cancelled_probe_calls_nobody);
 	suite_add_tcase(suite, cases);
--- a/tests/steering/test_host_watch.c
+++ b/tests/steering/test_host_watch.c
@@ -96,6 +96,17 @@
 		{ { PROBE_RESULT_UP }, 1, 9, 0 },
 		{ { PROBE_RESULT_DOWN }, 1, 9, 3 },
 		{ { PROBE_RESULT_DOWN }, 1, 0, 0 },
+		/* Hosts over their cap reset what they accepted. */
+		{ { PROBE_RESULT_FULL, PROBE_RESULT_FULL, PROBE_RESULT_FULL },
+		  3,
+		  9,
+		  0 },
+		{ { PROBE_RESULT_TIMEOUT, PROBE_RESULT_FULL,
+		    PROBE_RESULT_TIMEOUT },
+		  3,
+		  9,
+		  0 },
+		{ { PROBE_RESULT_FULL, PROBE_RESULT_DOWN }, 2, 9, 3 },
 		{ { PROBE_RESULT_TIMEOUT }, 1, 9, 0 },
 		{ { PROBE_RESULT_TIMEOUT, PROBE_RESULT_TIMEOUT }, 2, 9, 3 },
 		{ { PROBE_RESULT_TIMEOUT, PROBE_RESULT_TIMEOUT }, 2, 1, 0 },
@@ -288,6 +299,18 @@
 }
 END_TEST
 
+START_TEST(full_host_gets_no_new_flow) {
+	struct known_host *host = fixture_host(&fixture, 1);
+
+	probe_provoke(host);
+	steering_tick(fixture.steering);
+	steering_probe_end(fixture.steering, "i-01", PROBE_RESULT_FULL);
+	for (uint16_t port = 50; port < 60; port++)
+		ck_assert_ptr_ne(packet_syn(&fixture, port, 0).host, host);
+	ck_assert(!evidence_is_silent(&host->evidence));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("host watch");
@@ -297,7 +320,8 @@
 	tcase_add_test(cases, silent_host_loses_its_flows);
 	tcase_add_test(cases, host_that_serves_others_is_not_silent);
 	tcase_add_test(cases, late_acknowledgement_hides_no_silence);
-	tcase_add_loop_test(cases, probe_results_are_weighed, 0, 7);
+	tcase_add_test(cases, full_host_gets_no_new_flow);
+	tcase_add_loop_test(cases, probe_results_are_weighed, 0, 10);
 	tcase_add_test(cases, overdue_handshake_is_probed_at_once);
 	tcase_add_test(cases, finished_handshake_is_not_probed);
 	tcase_add_test(cases, host_that_falls_quiet_is_probed_early);
