--- a/include/edge/edge.h
+++ b/include/edge/edge.h
@@ -2,9 +2,7 @@
 #define PARSLEYLADDER_EDGE_EDGE_H
 
 /**
- * Batched UDP socket in the default GLib main loop. GUE variant 1 carries the
- * inner IP packet directly as the UDP payload
- * (draft-ietf-intarea-gue, section 4), so nothing is added on the wire.
+ * Batched UDP socket in the default GLib main loop.
  */
 
 #include <gio/gio.h>
--- a/parsleyladder/commands/balancer.c
+++ b/parsleyladder/commands/balancer.c
@@ -27,8 +27,7 @@
 	const struct argp argp = {
 		.parser = option_parse,
 		.args_doc = "[FILE]",
-		.doc = "Runs a balancer whose packets carry tokens, with the "
-		       "settings in the JSON file FILE or, without it, in the "
+		.doc = "Runs a balancer with the settings in the JSON file FILE or, without it, in the "
 		       "file that " SETTINGS_VARIABLE " names.",
 	};
 	const char *path = getenv(SETTINGS_VARIABLE);
--- a/tests/parsleyladder/test_balancer.c
+++ b/tests/parsleyladder/test_balancer.c
@@ -188,7 +188,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("token balancer");
+	Suite *suite = suite_create("balancer");
 	TCase *cases = tcase_create("metrics");
 
 	tcase_add_checked_fixture(cases, balancer_open, balancer_close);
