--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -79,6 +79,7 @@
 	uint32_t net; /* second octet of all addresses of this run */
 	GRand *random;
 	const struct clock *clock;
+	int64_t started_ns;
 	char *folder;
 	const char *binary;
 	uint16_t packet_port;
@@ -108,6 +109,7 @@
 	bool is_recovering;
 };
 
+/* What the run says: report.c. */
 /** Now, in nanoseconds. */
 int64_t soak_now(const struct soak *soak);
 /** Prints the event with time; violations are counted by @check. */
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -15,11 +15,6 @@
 #define PAUSE_NS (1 * NS_PER_S)
 /* A full receive buffer is emptied in a few milliseconds. */
 #define WAKE_DISCARD_NS (50 * NS_PER_MS)
-/* A watch that fell silent is noticed after its wait and the timeout. */
-#define WATCH_WAIT_MS 1000
-#define ANSWER_TIMEOUT_MS 800
-/* Changes of several hosts come together; one call brings them all. */
-#define BATCH_MS 100
 /* What is published counts as current for this long after a confirmation. */
 #define CURRENT_NS (4 * NS_PER_S)
 /* Settings may change without a signal. */
@@ -43,124 +38,6 @@
 	edge_flush(balancer->sharing_edge);
 }
 
-static void listing_begin(void *context, uint64_t revision)
-{
-	struct balancer *balancer = context;
-
-	host_listing_destroy(balancer->listing);
-	balancer->listing = host_listing_create(revision);
-}
-
-static void listing_end(void *context)
-{
-	struct balancer *balancer = context;
-
-	host_listing_finish(balancer->listing,
-			    steering_hosts(balancer->steering),
-			    clock_now_ns(balancer->clock));
-	g_clear_pointer(&balancer->listing, host_listing_destroy);
-	if (!balancer->knowledge.is_complete)
-		log_event(LOG_LEVEL_INFO, "listing_complete",
-			  "hosts=%u source=%s",
-			  host_table_count(steering_hosts(balancer->steering)),
-			  balancer->knowledge.source);
-	balancer->knowledge.is_complete = true;
-}
-
-/*
- * The platform does not tell when routes were published; it was after the
- * routes before them were last confirmed to be current. -1 for the first ones.
- */
-static int64_t routes_delay_ms(struct balancer *balancer)
-{
-	int64_t confirmed_ns = balancer->knowledge.confirmed_ns;
-	int64_t delay_ms;
-
-	if (confirmed_ns == 0)
-		return -1;
-	delay_ms = (clock_now_ns(balancer->clock) - confirmed_ns) / NS_PER_MS;
-	histogram_record(&balancer->routes_delay_ms, (uint64_t)delay_ms);
-	return delay_ms;
-}
-
-void balancer_routing_apply(struct balancer *balancer, struct routing *routing)
-{
-	if (!steering_set_routing(balancer->steering, routing))
-		return;
-	log_event(LOG_LEVEL_INFO, "routes_applied",
-		  "version=%" PRIu64 " routes=%zu idle_timeout_ms=%u "
-		  "revision=%" PRIu64 " source=%s delay_ms=%" PRId64,
-		  routing->version, routing->rule_count,
-		  routing->idle_timeout_ms, balancer->knowledge.revision,
-		  balancer->knowledge.source, routes_delay_ms(balancer));
-}
-
-static void store_item_apply(void *context, const struct store_item *item)
-{
-	struct balancer *balancer = context;
-	struct host_table *hosts = steering_hosts(balancer->steering);
-	int64_t now_ns = clock_now_ns(balancer->clock);
-
-	balancer->knowledge.source = "store";
-	switch (item->kind) {
-	case STORE_ITEM_HOST:
-		if (balancer->listing)
-			host_listing_put(balancer->listing, hosts, &item->host,
-					 now_ns);
-		else
-			host_table_put(hosts, &item->host, now_ns);
-		break;
-	case STORE_ITEM_HOST_REMOVED:
-		host_table_remove(hosts, item->host.id, item->revision, now_ns);
-		break;
-	case STORE_ITEM_ROUTING:
-		balancer_routing_apply(balancer, item->routing);
-		break;
-	case STORE_ITEM_FOREIGN:
-		if (item->problem) {
-			char *key = g_strescape(item->key, NULL);
-
-			log_event(LOG_LEVEL_WARNING, "entry_ignored",
-				  "key=\"%s\" revision=%" PRIu64
-				  " reason=\"%s\"",
-				  key, item->revision, item->problem);
-			g_free(key);
-		}
-		break;
-	}
-}
-
-static void store_current(void *context, uint64_t revision,
-			  int64_t confirmed_ns)
-{
-	struct balancer *balancer = context;
-	struct knowledge *knowledge = &balancer->knowledge;
-	bool is_newer = revision > knowledge->revision;
-
-	knowledge->revision = MAX(knowledge->revision, revision);
-	knowledge->confirmed_ns = MAX(knowledge->confirmed_ns, confirmed_ns);
-	if (is_newer)
-		sharing_push(balancer->sharing);
-}
-
-static void store_reachable(void *context, bool is_reachable,
-			    const char *reason)
-{
-	struct balancer *balancer = context;
-	int64_t now_ns = clock_now_ns(balancer->clock);
-	int64_t away_ns = 0;
-	char *text = g_strescape(reason, NULL);
-
-	if (is_reachable && balancer->unreachable_since_ns != 0)
-		away_ns = now_ns - balancer->unreachable_since_ns;
-	balancer->unreachable_since_ns = is_reachable ? 0 : now_ns;
-	log_event(is_reachable ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
-		  is_reachable ? "store_regained" : "store_lost",
-		  "reason=\"%s\" away_ms=%" PRId64 " revision=%" PRIu64, text,
-		  away_ns / NS_PER_MS, balancer->knowledge.revision);
-	g_free(text);
-}
-
 /*
  * Packets that waited in the socket during a pause are old: callers have
  * repeated them, and what is known of the hosts is old too.
@@ -355,26 +232,6 @@
 	return balancer->readiness != NULL;
 }
 
-static void store_open(struct balancer *balancer)
-{
-	const struct store_options options = {
-		.address = balancer->settings->store_endpoint,
-		.clock = balancer->clock,
-		.random_seed = balancer->random_seed,
-		.watch_wait_ms = WATCH_WAIT_MS,
-		.answer_timeout_ms = ANSWER_TIMEOUT_MS,
-		.batch_ms = BATCH_MS,
-		.on_listing_begin = listing_begin,
-		.on_listing_end = listing_end,
-		.on_item = store_item_apply,
-		.on_current = store_current,
-		.on_reachable = store_reachable,
-		.context = balancer,
-	};
-
-	balancer->store = store_create(&options);
-}
-
 struct balancer *balancer_create(const char *path, const struct clock *clock,
 				 struct error *error)
 {
@@ -404,7 +261,7 @@
 		goto fail;
 	if (!readiness_open(balancer, error))
 		goto fail;
-	store_open(balancer);
+	balancer_store_open(balancer);
 	if (!balancer_admin_open(balancer, error))
 		goto fail;
 	return balancer;
@@ -419,8 +276,7 @@
 		return;
 	balancer_admin_close(balancer);
 	host_probes_cancel(balancer);
-	store_destroy(balancer->store);
-	host_listing_destroy(balancer->listing);
+	balancer_store_close(balancer);
 	readiness_destroy(balancer->readiness);
 	forwarder_destroy(balancer->forwarder);
 	balancer_sharing_close(balancer);
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -129,6 +129,9 @@
 void balancer_sharing_close(struct balancer *balancer);
 /** Takes over the seeds of the settings. */
 void balancer_seeds_set(struct balancer *balancer);
+/** Starts the client of the store, which does not follow it yet. */
+void balancer_store_open(struct balancer *balancer);
+void balancer_store_close(struct balancer *balancer);
 /** Puts routes in force if they are newer. */
 void balancer_routing_apply(struct balancer *balancer, struct routing *routing);
 
--- /dev/null
+++ b/sharing/sharing_send.c
@@ -0,0 +1,53 @@
+#include "sharing_state.h"
+
+uint32_t sharing_age_ms(const struct sharing *sharing, int64_t now_ns)
+{
+	const struct knowledge *knowledge = sharing->options.knowledge;
+	int64_t age_ns = now_ns - knowledge->confirmed_ns;
+
+	if (!knowledge->is_complete || knowledge->confirmed_ns == 0)
+		return UINT32_MAX;
+	return (uint32_t)MIN(age_ns / NS_PER_MS, (int64_t)UINT32_MAX);
+}
+
+bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns)
+{
+	return now_ns - sharing->options.knowledge->confirmed_ns >
+	       KNOWLEDGE_AGE_MAX_NS;
+}
+
+GByteArray *sharing_encode(struct sharing *sharing,
+			   struct sharing_message *message)
+{
+	message->zone = sharing->zone;
+	message->capacity = sharing->options.capacity;
+	return sharing_message_encode(message);
+}
+
+void sharing_send_bytes(struct sharing *sharing, uint32_t address,
+			const GByteArray *bytes)
+{
+	sharing->counters[SHARING_BYTES_SENT] += bytes->len;
+	sharing->options.send(sharing->options.context, address, bytes->data,
+			      bytes->len);
+}
+
+void sharing_send(struct sharing *sharing, uint32_t address,
+		  struct sharing_message *message)
+{
+	GByteArray *bytes = sharing_encode(sharing, message);
+
+	sharing_send_bytes(sharing, address, bytes);
+	g_byte_array_unref(bytes);
+}
+
+const char *sharing_address_print(uint32_t address,
+				  char text[IP_ADDRESS_TEXT_BYTES])
+{
+	struct ip_address decoded;
+
+	if (address == 0)
+		return "none";
+	ip_address_from_v4(address, &decoded);
+	return ip_address_print(&decoded, text);
+}
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -2,7 +2,9 @@
 #define PARSLEYLADDER_SHARING_SHARING_STATE_H
 
 /**
- * State of the sharing of news, common to its source files.
+ * State of the sharing of news, and its layers: sharing.c takes datagrams and
+ * ticks and calls sharing_follow.c, sharing_find.c or sharing_serve.c, and these
+ * call sharing_send.c. None calls back.
  */
 
 #include "common/token_bucket.h"
@@ -89,6 +91,7 @@
 	uint64_t counters[SHARING_COUNTERS];
 };
 
+/* Sending, and the age of what is told: sharing_send.c. */
 /** Fills in the sender and encodes; the caller frees the result. */
 GByteArray *sharing_encode(struct sharing *sharing,
 			   struct sharing_message *message);
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -19,18 +19,6 @@
 /* Mean time between two faults. */
 #define FAULT_INTERVAL_MS 700
 
-const char *const soak_check_names[SOAK_CHECKS] = {
-	[CHECK_FLOW_RESET] = "flow_reset",
-	[CHECK_FLOW_MOVED] = "flow_moved",
-	[CHECK_FOREIGN_SERVICE] = "foreign_service",
-	[CHECK_REPEATED] = "repeated",
-	[CHECK_DRAIN] = "drain",
-	[CHECK_ROUTE_LATE] = "route_late",
-	[CHECK_PROCESS_ENDED] = "process_ended",
-	[CHECK_RESOURCES] = "resources",
-	[CHECK_RECOVERY] = "recovery",
-};
-
 struct arguments {
 	const char *binary;
 	uint32_t first;
@@ -42,44 +30,6 @@
 	const char *folder;
 };
 
-static int64_t started_ns;
-
-int64_t soak_now(const struct soak *soak)
-{
-	return clock_now_ns(soak->clock);
-}
-
-static void line_print(const struct soak *soak, const char *kind,
-		       const char *format, va_list values)
-{
-	char text[512];
-
-	vsnprintf(text, sizeof(text), format, values);
-	printf("seed=%u at=%.3f %s %s\n", soak->seed,
-	       (double)(soak_now(soak) - started_ns) / NS_PER_S, kind, text);
-	fflush(stdout);
-}
-
-void soak_violation(struct soak *soak, enum soak_check check,
-		    const char *format, ...)
-{
-	va_list values;
-
-	soak->violations[check]++;
-	va_start(values, format);
-	line_print(soak, soak_check_names[check], format, values);
-	va_end(values);
-}
-
-void soak_note(struct soak *soak, const char *format, ...)
-{
-	va_list values;
-
-	va_start(values, format);
-	line_print(soak, "fault", format, values);
-	va_end(values);
-}
-
 /* A port that is free on the loopback address, for all addresses of the run. */
 static uint16_t port_find(void)
 {
@@ -240,7 +190,7 @@
 	memset(soak, 0, sizeof(*soak));
 	soak->seed = seed;
 	soak_open(soak, arguments);
-	started_ns = soak_now(soak);
+	soak->started_ns = soak_now(soak);
 	soak_routes_publish(soak, true);
 	hosts_open(soak, arguments->hosts);
 	balancers_open(soak, arguments->balancers);
