List hosts before routes, both from the member that was drawn

Cause: a poll asked for a page of hosts and a chunk of routes in one, the answer carried the chunk only, and nothing asked on after the last chunk.

Ruled out: the seeds as sources; all processes that start greet the same three.

Change: pages and chunks are asked for by polls of their own, hosts first; the first greeting from somebody with fresh news draws a member at once.

--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -15,14 +15,14 @@
 		.version = routing && !sharing->needs_all_routes
 				   ? routing->version
 				   : 0,
-		.is_listing = sharing->is_listing &&
-			      address == sharing->listing_source,
-		.chunk = sharing->incoming_version ? sharing->incoming_next : 0,
 	};
 
-	if (poll.is_listing) {
+	if (sharing->is_listing && address == sharing->listing_source) {
+		poll.is_listing = true;
 		g_strlcpy(poll.cursor, sharing->cursor, sizeof(poll.cursor));
 		sharing->page_asked_ns = clock_now_ns(sharing->options.clock);
+	} else if (sharing->incoming_version != 0) {
+		poll.chunk = sharing->incoming_next;
 	}
 	poll.load_count = serve_loads_fill(sharing, false, poll.loads);
 	sharing->reported_count = poll.load_count;
@@ -57,16 +57,32 @@
 	helper_poll(sharing, now_ns);
 }
 
+/*
+ * A balancer that knows nothing asks members drawn at random for a listing, not
+ * the seeds that all greet: if a zone restarts, few could not serve all of them.
+ */
+static void listing_draw(struct sharing *sharing, int64_t now_ns)
+{
+	uint32_t drawn = members_draw(sharing->members, sharing->random);
+
+	if (drawn != 0)
+		helper_set(sharing, drawn, now_ns);
+}
+
 void follow_hear_age(struct sharing *sharing, uint32_t address,
 		     uint32_t news_age_ms, int64_t now_ns)
 {
-	/* Whoever knows nothing draws a member: all greet the same seeds. */
-	if (!sharing->options.knowledge->is_complete ||
-	    news_age_ms * NS_PER_MS >= KNOWLEDGE_AGE_MAX_NS ||
-	    !sharing_is_stale(sharing, now_ns) || address == sharing->leader ||
-	    is_helped(sharing, now_ns))
+	if (news_age_ms * NS_PER_MS >= KNOWLEDGE_AGE_MAX_NS)
+		return;
+	if (!sharing->options.knowledge->is_complete) {
+		/* The first answer says that others know; ticks draw again. */
+		if (!sharing->is_listing && sharing->helper == 0)
+			listing_draw(sharing, now_ns);
 		return;
-	helper_set(sharing, address, now_ns);
+	}
+	if (sharing_is_stale(sharing, now_ns) && address != sharing->leader &&
+	    !is_helped(sharing, now_ns))
+		helper_set(sharing, address, now_ns);
 }
 
 static void incoming_drop(struct sharing *sharing)
@@ -108,14 +124,8 @@
 	sharing->counters[SHARING_LISTINGS]++;
 }
 
-/*
- * A balancer that knows nothing asks members drawn at random for a listing: if
- * a zone restarts, its reader alone could not serve all of them.
- */
 static void listing_tick(struct sharing *sharing, int64_t now_ns)
 {
-	uint32_t drawn;
-
 	if (sharing->options.knowledge->is_complete)
 		return;
 	if (sharing->is_listing && now_ns - sharing->page_ns < PAGE_LOST_NS) {
@@ -124,9 +134,7 @@
 		return;
 	}
 	listing_drop(sharing);
-	drawn = members_draw(sharing->members, sharing->random);
-	if (drawn != 0)
-		helper_set(sharing, drawn, now_ns);
+	listing_draw(sharing, now_ns);
 }
 
 void follow_tick(struct sharing *sharing, int64_t now_ns)
@@ -296,8 +304,12 @@
 	if (!is_complete && !sharing->is_listing &&
 	    address == sharing->helper) {
 		listing_begin(sharing, address, now_ns);
-		wants_more = true;
-	} else if (news->is_listing) {
+		return true;
+	}
+	/* Hosts first, then routes, both from the member that was drawn. */
+	if (!is_complete && address != sharing->listing_source)
+		return false;
+	if (news->is_listing) {
 		wants_more = listing_take(sharing, address, news, now_ns);
 	} else if (news->chunk == 0 && !news->needs_listing) {
 		wants_more = changes_take(sharing, news, now_ns);
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -200,7 +200,8 @@
 START_TEST(new_process_learns_from_a_peer) {
 	network_restart(&network, 27);
 	network.nodes[27].is_refused = true;
-	network_run(&network, 1000);
+	/* The first tick greets; callers wait for what the answers bring. */
+	network_run(&network, 400);
 	ck_assert(network.nodes[27].knowledge.is_complete);
 	ck_assert_uint_eq(
 		host_table_count(steering_hosts(network.nodes[27].steering)),
