Add profiles, and limits of a service and a team

Ruled out: limits for the whole fleet; the fabric spreads flows unevenly and a count of all would be a message a flow. A limit holds for one balancer.

Change: profiles, teams and services in the settings, checked against each other and taken over without a restart. Module steering/policy (load shedding): a first opening packet above a limit is refused at once with service_limit or team_limit; copies and open flows never are. A profile may prefer no zone. Settings that change are compared with the file as it was last read, so an address that needs a restart is told once and not every 2 s.

--- a/configuration/settings.c
+++ b/configuration/settings.c
@@ -9,9 +9,13 @@
 #include "packet/packet.h"
 
 /** Largest settings file, in bytes. */
-#define SETTINGS_BYTES_MAX (64 * 1024)
+#define SETTINGS_BYTES_MAX (512 * 1024)
 /** Most seeds that are read. */
 #define SEEDS_MAX 64
+/** Most profiles, teams and services with a profile. */
+#define PROFILES_MAX 64
+#define TEAMS_MAX 256
+#define SERVICES_MAX 2048
 /** Largest core share that is believed. */
 #define CORE_SHARE_MAX 64
 
@@ -28,7 +32,78 @@
 	.min = (required), .is_required = (required),                        \
 	FIELD_MEMBER(settings, member)
 
-static const struct field token_fields[] = {
+static const struct field_choice zone_preferences[] = {
+	{ "local_first", ZONE_LOCAL_FIRST },
+	{ "any", ZONE_ANY },
+	{ NULL, 0 },
+};
+
+#define NEW_FLOWS_FIELD(structure)                             \
+	.name = "new_flows_per_second", .type = FIELD_INTEGER, \
+	.unit = "flows/s", .max = 1000000,                     \
+	FIELD_MEMBER(structure, new_flows_per_s)
+
+static const struct field profile_fields[] = {
+	{ .name = "name",
+	  .type = FIELD_NAME,
+	  .is_required = true,
+	  FIELD_MEMBER(profile_settings, name) },
+	{ .name = "zone_preference",
+	  .type = FIELD_CHOICE,
+	  .choices = zone_preferences,
+	  .integer_default = ZONE_LOCAL_FIRST,
+	  FIELD_MEMBER(profile_settings, zone_preference) },
+	{ NEW_FLOWS_FIELD(profile_settings) },
+};
+
+static const struct field team_fields[] = {
+	{ .name = "name",
+	  .type = FIELD_NAME,
+	  .is_required = true,
+	  FIELD_MEMBER(team_settings, name) },
+	{ NEW_FLOWS_FIELD(team_settings) },
+};
+
+static const struct field service_fields[] = {
+	{ .name = "name",
+	  .type = FIELD_NAME,
+	  .is_required = true,
+	  FIELD_MEMBER(service_settings, name) },
+	{ .name = "profile",
+	  .type = FIELD_NAME,
+	  .is_required = true,
+	  FIELD_MEMBER(service_settings, profile) },
+	{ .name = "team",
+	  .type = FIELD_TEXT,
+	  .max = NAME_BYTES_MAX,
+	  FIELD_MEMBER(service_settings, team) },
+};
+
+static const struct field_table profile_table = {
+	profile_fields,
+	G_N_ELEMENTS(profile_fields),
+	sizeof(struct profile_settings),
+};
+
+static const struct field_table team_table = {
+	team_fields,
+	G_N_ELEMENTS(team_fields),
+	sizeof(struct team_settings),
+};
+
+static const struct field_table service_table = {
+	service_fields,
+	G_N_ELEMENTS(service_fields),
+	sizeof(struct service_settings),
+};
+
+#define OBJECTS_FIELD(member, counter, table, most)                \
+	.name = #member, .type = FIELD_OBJECT_LIST, .max = (most), \
+	.offset = offsetof(struct settings, member),               \
+	.count_offset = offsetof(struct settings, counter),        \
+	.element = &(table)
+
+static const struct field settings_fields[] = {
 	{ .name = "instance_id",
 	  .type = FIELD_NAME,
 	  .is_required = true,
@@ -88,17 +163,20 @@
 	  .max = 3600000,
 	  .integer_default = 4000,
 	  FIELD_MEMBER(settings, stop_deadline_ms) },
+	{ OBJECTS_FIELD(profiles, profile_count, profile_table, PROFILES_MAX) },
+	{ OBJECTS_FIELD(teams, team_count, team_table, TEAMS_MAX) },
+	{ OBJECTS_FIELD(services, service_count, service_table, SERVICES_MAX) },
 };
 
-static const struct field_table token_table = {
-	token_fields,
-	G_N_ELEMENTS(token_fields),
+static const struct field_table settings_table = {
+	settings_fields,
+	G_N_ELEMENTS(settings_fields),
 	sizeof(struct settings),
 };
 
 const struct field_table *settings_field_table(void)
 {
-	return &token_table;
+	return &settings_table;
 }
 
 static bool endpoint_check(const struct field_reader *reader, const char *path,
@@ -145,6 +223,55 @@
 				    settings->core_share, CORE_SHARE_MAX);
 }
 
+const struct profile_settings *
+settings_find_profile(const struct settings *settings, const char *name)
+{
+	for (size_t i = 0; i < settings->profile_count; i++) {
+		if (strcmp(settings->profiles[i].name, name) == 0)
+			return &settings->profiles[i];
+	}
+	return NULL;
+}
+
+static bool team_is_known(const struct settings *settings, const char *name)
+{
+	for (size_t i = 0; i < settings->team_count; i++) {
+		if (strcmp(settings->teams[i].name, name) == 0)
+			return true;
+	}
+	return *name == '\0';
+}
+
+static bool service_fail(const struct field_reader *reader, size_t index,
+			 const char *field, const char *value,
+			 const char *allowed)
+{
+	char *path = g_strdup_printf("$.services[%zu].%s", index, field);
+
+	field_reader_fail_at(reader, path, "\"%s\" %s", value, allowed);
+	g_free(path);
+	return false;
+}
+
+static bool services_check(const struct field_reader *reader,
+			   const struct settings *settings)
+{
+	for (size_t i = 0; i < settings->service_count; i++) {
+		const struct service_settings *service = &settings->services[i];
+
+		if (!settings_find_profile(settings, service->profile))
+			return service_fail(reader, i, "profile",
+					    service->profile,
+					    "is not known, allowed the name of "
+					    "a profile");
+		if (!team_is_known(settings, service->team))
+			return service_fail(reader, i, "team", service->team,
+					    "is not known, allowed the name of "
+					    "a team");
+	}
+	return true;
+}
+
 uint16_t settings_capacity(const struct settings *settings)
 {
 	return (uint16_t)(g_ascii_strtod(settings->core_share, NULL) * 1000);
@@ -164,10 +291,11 @@
 	settings = g_new0(struct settings, 1);
 	field_reader_init(&reader, source, ERROR_SETTINGS, error);
 	reader.is_lenient = true;
-	is_valid = field_reader_read(&reader, &token_table,
+	is_valid = field_reader_read(&reader, &settings_table,
 				     json_node_get_object(root), settings) &&
 		   endpoints_check(&reader, settings) &&
-		   core_share_check(&reader, settings);
+		   core_share_check(&reader, settings) &&
+		   services_check(&reader, settings);
 	field_reader_clear(&reader);
 	json_node_unref(root);
 	if (is_valid)
@@ -193,21 +321,21 @@
 {
 	if (!settings)
 		return;
-	field_table_clear(&token_table, settings);
+	field_table_clear(&settings_table, settings);
 	g_free(settings);
 }
 
 char *settings_print(const struct settings *settings)
 {
-	return field_table_text(&token_table, settings);
+	return field_table_text(&settings_table, settings);
 }
 
 char *settings_diff(const struct settings *a, const struct settings *b)
 {
 	GString *names = g_string_new(NULL);
 
-	for (size_t i = 0; i < token_table.field_count; i++) {
-		const struct field *field = &token_table.fields[i];
+	for (size_t i = 0; i < settings_table.field_count; i++) {
+		const struct field *field = &settings_table.fields[i];
 		char *before = field_print_value(field, a);
 		char *after = field_print_value(field, b);
 
--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -17,6 +17,29 @@
 /** Longest text IP:PORT, in bytes with the terminating NUL. */
 #define ENDPOINT_TEXT_BYTES 64
 
+enum zone_preference {
+	ZONE_LOCAL_FIRST,
+	ZONE_ANY,
+};
+
+/** How new flows are treated; services choose one by its name. */
+struct profile_settings {
+	char name[NAME_BYTES_MAX + 1];
+	enum zone_preference zone_preference;
+	uint32_t new_flows_per_s; /* of a service, 0 = no limit */
+};
+
+struct team_settings {
+	char name[NAME_BYTES_MAX + 1];
+	uint32_t new_flows_per_s; /* of all its services, 0 = no limit */
+};
+
+struct service_settings {
+	char name[NAME_BYTES_MAX + 1];
+	char profile[NAME_BYTES_MAX + 1];
+	char team[NAME_BYTES_MAX + 1]; /* "" = none */
+};
+
 struct settings {
 	char instance_id[NAME_BYTES_MAX + 1];
 	char zone[NAME_BYTES_MAX + 1]; /* key "availability_zone" */
@@ -33,6 +56,12 @@
 	uint32_t flows_max;
 	uint32_t flow_age_max_s; /* key "flow_age_max_seconds" */
 	uint32_t stop_deadline_ms;
+	struct profile_settings *profiles;
+	size_t profile_count;
+	struct team_settings *teams;
+	size_t team_count;
+	struct service_settings *services;
+	size_t service_count;
 };
 
 struct field_table;
@@ -43,6 +72,9 @@
 				size_t length, struct error *error);
 /** Like settings_parse(), from the file @path. */
 struct settings *settings_load(const char *path, struct error *error);
+/** Returns NULL if there is no such profile. */
+const struct profile_settings *
+settings_find_profile(const struct settings *settings, const char *name);
 /** Processor of the instance, in thousandths of a core. */
 uint16_t settings_capacity(const struct settings *settings);
 /** Accepts NULL. */
--- a/include/steering/choose.h
+++ b/include/steering/choose.h
@@ -8,6 +8,7 @@
  */
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "steering/host_table.h"
@@ -26,6 +27,7 @@
 struct choice_request {
 	const GPtrArray *hosts; /* of the service, struct known_host */
 	const char *zone; /* of this balancer */
+	bool is_any_zone; /* hosts of all zones count as local */
 	const struct known_host *avoided; /* has not answered; or NULL */
 	int64_t now_ns;
 	GRand *random; /* breaks ties */
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -16,6 +16,7 @@
 #include "steering/choose.h"
 #include "steering/flow_cache.h"
 #include "steering/host_table.h"
+#include "steering/policy.h"
 #include "steering/routing.h"
 
 /** Facts of one packet of a caller. */
@@ -41,6 +42,8 @@
 	STEERING_CACHED, /* open flow without a token, host remembered */
 	STEERING_NO_ROUTE, /* nothing is offered at the address and port */
 	STEERING_NO_HOST, /* no host of the service accepts flows */
+	STEERING_SERVICE_LIMIT, /* too many new flows of the service */
+	STEERING_TEAM_LIMIT, /* too many new flows of its team */
 	STEERING_HOST_SILENT, /* the host has stopped answering */
 	STEERING_HOST_GONE, /* the host is no longer published */
 	STEERING_TOKEN_UNKNOWN, /* no host has the token */
@@ -108,6 +111,9 @@
  * Takes a reference of its own.
  */
 bool steering_set_routing(struct steering *steering, struct routing *routing);
+/** Replaces the policies of the services and owns @policies; NULL for none. */
+void steering_set_policies(struct steering *steering,
+			   struct policy_table *policies);
 /** Routes in force, or NULL. */
 struct routing *steering_routing(const struct steering *steering);
 struct host_table *steering_hosts(struct steering *steering);
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -108,6 +108,20 @@
 	balancer->last_packet_ns = clock_now_ns(balancer->clock);
 }
 
+/* Sockets stay as they are; what is read at each use is replaced. */
+static void settings_take(struct balancer *balancer,
+			  const struct settings *settings)
+{
+	g_strfreev(balancer->settings->seeds);
+	balancer->settings->seeds = g_strdupv(settings->seeds);
+	balancer_seeds_set(balancer);
+	balancer->settings->decision_lines_per_s =
+		settings->decision_lines_per_s;
+	balancer->settings->stop_deadline_ms = settings->stop_deadline_ms;
+	line_bounds_init(balancer);
+	balancer_policies_set(balancer, settings);
+}
+
 static void settings_reload(struct balancer *balancer, const char *cause)
 {
 	struct error error = { 0 };
@@ -120,22 +134,17 @@
 			  "cause=%s reason=\"%s\"", cause, error.detail);
 		return;
 	}
-	changed = settings_diff(balancer->settings, settings);
+	changed = settings_diff(balancer->seen_settings, settings);
 	if (*changed != '\0') {
 		log_event(LOG_LEVEL_INFO, "settings_reloaded",
 			  "cause=%s changed=%s", cause, changed);
-		/* Sockets stay; what is read at each use is replaced. */
-		g_strfreev(balancer->settings->seeds);
-		balancer->settings->seeds = g_strdupv(settings->seeds);
-		balancer_seeds_set(balancer);
-		balancer->settings->decision_lines_per_s =
-			settings->decision_lines_per_s;
-		balancer->settings->stop_deadline_ms =
-			settings->stop_deadline_ms;
-		line_bounds_init(balancer);
+		settings_take(balancer, settings);
+		settings_destroy(balancer->seen_settings);
+		balancer->seen_settings = settings;
+	} else {
+		settings_destroy(settings);
 	}
 	g_free(changed);
-	settings_destroy(settings);
 }
 
 static gboolean tick(gpointer context)
@@ -237,11 +246,15 @@
 {
 	struct balancer *balancer;
 	struct settings *settings = settings_load(path, error);
+	struct settings *seen = settings ? settings_load(path, error) : NULL;
 
-	if (!settings)
+	if (!seen) {
+		settings_destroy(settings);
 		return NULL;
+	}
 	balancer = g_new0(struct balancer, 1);
 	balancer->settings = settings;
+	balancer->seen_settings = seen;
 	balancer->settings_path = g_strdup(path);
 	balancer->clock = clock;
 	log_open(settings->log_level, settings->instance_id);
@@ -255,6 +268,7 @@
 	balancer->probes = g_hash_table_new(NULL, NULL);
 	balancer->knowledge.source = "none";
 	steering_open(balancer);
+	balancer_policies_set(balancer, settings);
 	if (!balancer_sharing_open(balancer, error))
 		goto fail;
 	if (!forwarder_open(balancer, error))
@@ -283,6 +297,7 @@
 	steering_destroy(balancer->steering);
 	g_main_loop_unref(balancer->loop);
 	log_close();
+	settings_destroy(balancer->seen_settings);
 	settings_destroy(balancer->settings);
 	g_free(balancer->settings_path);
 	g_free(balancer);
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -66,7 +66,8 @@
 
 struct balancer {
 	char *settings_path;
-	struct settings *settings;
+	struct settings *settings; /* in force */
+	struct settings *seen_settings; /* of the file when it last changed */
 	const struct clock *clock;
 	GMainLoop *loop;
 	uint64_t random_seed;
@@ -135,6 +136,10 @@
 /** Puts routes in force if they are newer. */
 void balancer_routing_apply(struct balancer *balancer, struct routing *routing);
 
+/** Puts the profiles, teams and services of the settings in force. */
+void balancer_policies_set(struct balancer *balancer,
+			   const struct settings *settings);
+
 /** Opens the administration server, if there is an endpoint for it. */
 bool balancer_admin_open(struct balancer *balancer, struct error *error);
 void balancer_admin_close(struct balancer *balancer);
--- a/steering/choose.c
+++ b/steering/choose.c
@@ -82,7 +82,8 @@
 static void host_consider(struct search *search, struct known_host *host)
 {
 	const struct choice_request *request = search->request;
-	bool is_local = strcmp(host->published.zone, request->zone) == 0;
+	bool is_local = request->is_any_zone ||
+			strcmp(host->published.zone, request->zone) == 0;
 	bool is_lost = host->is_gone &&
 		       request->now_ns - host->gone_since_ns > LOST_CAPACITY_NS;
 
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -1,5 +1,29 @@
 #include "steering_state.h"
 
+static const enum steering_reason limit_reasons[] = {
+	[POLICY_SERVICE_LIMIT] = STEERING_SERVICE_LIMIT,
+	[POLICY_TEAM_LIMIT] = STEERING_TEAM_LIMIT,
+};
+
+/*
+ * True if the flow is above a limit. A copy of an opening packet is not
+ * refused: another balancer may have forwarded the first one.
+ */
+static bool is_limited(const struct token_packet *packet,
+		       struct service_policy *policy, int64_t now_ns,
+		       struct steering_decision *decision)
+{
+	enum policy_verdict verdict;
+
+	if (packet->copy > 0)
+		return false;
+	verdict = policy_admit(policy, now_ns);
+	if (verdict == POLICY_ADMIT)
+		return false;
+	steering_decide(decision, STEERING_RESET, limit_reasons[verdict], NULL);
+	return true;
+}
+
 static void flow_place(struct steering *steering,
 		       const struct token_packet *packet,
 		       const struct route_rule *rule, struct cached_flow *flow,
@@ -8,16 +32,21 @@
 {
 	const struct flow_key *key = &packet->facts.key;
 	const char *service = route_rule_service(rule, flow_key_hash(key, 0));
+	struct service_policy *policy =
+		service ? policy_table_find(steering->policies, service) : NULL;
 	const struct choice_request request = {
 		.hosts = service ? host_table_service(steering->hosts, service)
 				 : NULL,
 		.zone = steering->options.zone,
+		.is_any_zone = policy_is_any_zone(policy),
 		.avoided = avoided,
 		.now_ns = now_ns,
 		.random = steering->random,
 	};
-	struct choice choice;
+	struct choice choice = { .reason = CHOICE_NONE };
 
+	if (!flow && is_limited(packet, policy, now_ns, decision))
+		return;
 	placement_choose(&request, &choice);
 	decision->choice = choice.reason;
 	if (!choice.host) {
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -16,6 +16,8 @@
 	[STEERING_CACHED] = "cached",
 	[STEERING_NO_ROUTE] = "no_route",
 	[STEERING_NO_HOST] = "no_host",
+	[STEERING_SERVICE_LIMIT] = "service_limit",
+	[STEERING_TEAM_LIMIT] = "team_limit",
 	[STEERING_HOST_SILENT] = "host_silent",
 	[STEERING_HOST_GONE] = "host_gone",
 	[STEERING_TOKEN_UNKNOWN] = "token_unknown",
@@ -69,6 +71,7 @@
 	flow_cache_destroy(steering->flows);
 	host_table_destroy(steering->hosts);
 	routing_unref(steering->routing);
+	policy_table_destroy(steering->policies);
 	g_rand_free(steering->random);
 	g_free(steering);
 }
@@ -119,6 +122,13 @@
 	return true;
 }
 
+void steering_set_policies(struct steering *steering,
+			   struct policy_table *policies)
+{
+	policy_table_destroy(steering->policies);
+	steering->policies = policies;
+}
+
 struct routing *steering_routing(const struct steering *steering)
 {
 	return steering->routing;
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -19,6 +19,7 @@
 	struct host_table *hosts;
 	struct flow_cache *flows;
 	struct routing *routing; /* NULL until the first one */
+	struct policy_table *policies; /* NULL for none */
 	GRand *random;
 	bool is_informed;
 	int64_t informed_since_ns;
--- a/tests/configuration/test_manual.c
+++ b/tests/configuration/test_manual.c
@@ -79,9 +79,21 @@
 }
 
 START_TEST(settings_page_is_complete) {
+	static const char *const sections[] = { "# PROFILES", "# TEAMS",
+						"# SERVICES" };
+	const struct field_table *table = settings_field_table();
 	char *page = page_read("parsleyladder-settings.5.scd");
+	size_t section = 0;
 
-	assert_documented(page, "# FIELDS", settings_field_table());
+	assert_documented(page, "# FIELDS", table);
+	for (size_t i = 0; i < table->field_count; i++) {
+		if (!table->fields[i].element)
+			continue;
+		ck_assert_uint_lt(section, G_N_ELEMENTS(sections));
+		assert_documented(page, sections[section++],
+				  table->fields[i].element);
+	}
+	ck_assert_uint_eq(section, 3);
 	g_free(page);
 }
 END_TEST
--- a/tests/configuration/test_settings.c
+++ b/tests/configuration/test_settings.c
@@ -37,6 +37,19 @@
 		{ "{" REQUIRED ",\"seeds\":\"10.0.0.2:702\"}", "$.seeds" },
 		{ "{" REQUIRED ",\"admin_endpoint\":\"9464\"}",
 		  "$.admin_endpoint" },
+		{ "{" REQUIRED ",\"profiles\":[{\"name\":\"p\"}],"
+		  "\"services\":[{\"name\":\"s\",\"profile\":\"p\"}]}",
+		  NULL },
+		{ "{" REQUIRED ",\"services\":[{\"name\":\"s\","
+		  "\"profile\":\"p\"}]}",
+		  "$.services[0].profile" },
+		{ "{" REQUIRED ",\"profiles\":[{\"name\":\"p\"}],"
+		  "\"services\":[{\"name\":\"s\",\"profile\":\"p\","
+		  "\"team\":\"t\"}]}",
+		  "$.services[0].team" },
+		{ "{" REQUIRED ",\"profiles\":[{\"name\":\"p\","
+		  "\"zone_preference\":\"none\"}]}",
+		  "$.profiles[0].zone_preference" },
 		{ "{\"instance_id\":\"entry-1\"}", "availability_zone" },
 		{ "[]", "test" },
 		{ "{", "test" },
@@ -172,7 +185,7 @@
 
 	tcase_add_loop_test(cases, errors_name_place_value_and_range, 0, 18);
 	tcase_add_test(cases, empty_text_is_refused);
-	tcase_add_loop_test(cases, settings_are_checked, 0, 12);
+	tcase_add_loop_test(cases, settings_are_checked, 0, 16);
 	tcase_add_loop_test(cases, endpoints_are_checked, 0, 5);
 	tcase_add_test(cases, defaults_and_differences);
 	suite_add_tcase(suite, cases);
--- /dev/null
+++ b/tests/steering/test_policy.c
@@ -0,0 +1,124 @@
+/*
+ * Guards against limits that refuse what was admitted before, count one flow
+ * twice, or reach flows that are open (load shedding at the door).
+ */
+
+#include <check.h>
+
+#include "fixture.h"
+#include "suite.h"
+
+static struct fixture fixture;
+
+static void hosts_open(void)
+{
+	fixture_open_three(&fixture);
+}
+
+static void hosts_close(void)
+{
+	fixture_close(&fixture);
+}
+
+static void policy_set(uint32_t service_limit, uint32_t team_limit,
+		       bool is_any_zone)
+{
+	struct policy_table *table = policy_table_create();
+	const struct service_policy_options options = {
+		.service = "examen",
+		.team = "counters",
+		.is_any_zone = is_any_zone,
+		.new_flows_per_s = service_limit,
+	};
+
+	policy_table_add_team(table, "counters", team_limit,
+			      fixture.clock.now_ns);
+	policy_table_add_service(table, &options, fixture.clock.now_ns);
+	steering_set_policies(fixture.steering, table);
+}
+
+START_TEST(flows_above_a_limit_are_refused) {
+	static const struct {
+		uint32_t service_limit;
+		uint32_t team_limit;
+		uint32_t admitted; /* of ten at once */
+		enum steering_reason reason; /* of the others */
+	} cases[] = {
+		{ 0, 0, 10, STEERING_PLACED },
+		{ 5, 0, 5, STEERING_SERVICE_LIMIT },
+		{ 0, 3, 3, STEERING_TEAM_LIMIT },
+		{ 5, 3, 3, STEERING_TEAM_LIMIT },
+		{ 3, 5, 3, STEERING_SERVICE_LIMIT },
+	};
+	uint32_t admitted = 0;
+
+	policy_set(cases[_i].service_limit, cases[_i].team_limit, false);
+	for (uint16_t port = 1; port <= 10; port++) {
+		struct steering_decision decision =
+			packet_syn(&fixture, port, 0);
+
+		if (decision.verdict == STEERING_FORWARD) {
+			admitted++;
+			continue;
+		}
+		ck_assert_int_eq(decision.verdict, STEERING_RESET);
+		ck_assert_int_eq(decision.reason, cases[_i].reason);
+		ck_assert_ptr_null(decision.host);
+	}
+	ck_assert_uint_eq(admitted, cases[_i].admitted);
+}
+END_TEST
+
+START_TEST(limit_refills_with_time) {
+	policy_set(4, 0, false);
+	for (uint16_t port = 1; port <= 4; port++)
+		packet_syn(&fixture, port, 0);
+	ck_assert_int_eq(packet_syn(&fixture, 5, 0).reason,
+			 STEERING_SERVICE_LIMIT);
+	fixture_advance(&fixture, 250);
+	ck_assert_int_eq(packet_syn(&fixture, 6, 0).reason, STEERING_PLACED);
+	ck_assert_int_eq(packet_syn(&fixture, 7, 0).reason,
+			 STEERING_SERVICE_LIMIT);
+}
+END_TEST
+
+/* Another balancer may have forwarded the first packet: it may have run. */
+START_TEST(copies_and_open_flows_are_not_refused) {
+	struct known_host *host = flow_open(&fixture, 1);
+
+	policy_set(1, 0, false);
+	packet_syn(&fixture, 2, 0);
+	ck_assert_int_eq(packet_syn(&fixture, 3, 0).reason,
+			 STEERING_SERVICE_LIMIT);
+	ck_assert_int_eq(packet_syn(&fixture, 2, 1).verdict, STEERING_FORWARD);
+	ck_assert_int_eq(packet_syn(&fixture, 4, 1).verdict, STEERING_FORWARD);
+	ck_assert_int_eq(
+		packet_data(&fixture, 1, host->token, 900, 1001).verdict,
+		STEERING_FORWARD);
+}
+END_TEST
+
+/* With hosts 1 and 2 in the own zone and host 3 in another one. */
+START_TEST(zone_preference_takes_effect) {
+	struct known_host *remote = fixture_host(&fixture, 3);
+
+	policy_set(0, 0, _i == 1);
+	for (uint16_t port = 1; port <= 30; port++)
+		packet_syn(&fixture, port, 0);
+	ck_assert_uint_eq(remote->open_flows, _i == 1 ? 10 : 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("policy");
+	TCase *cases = tcase_create("policy");
+
+	tcase_add_checked_fixture(cases, hosts_open, hosts_close);
+	tcase_add_loop_test(cases, flows_above_a_limit_are_refused, 0, 5);
+	tcase_add_test(cases, limit_refills_with_time);
+	tcase_add_test(cases, copies_and_open_flows_are_not_refused);
+	tcase_add_loop_test(cases, zone_preference_takes_effect, 0, 2);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
