Let the soak turn single balancers away, and play scripted scenarios

Ruled out: a source address of its own for each balancer's client; that would change the product for a test.

Change: the store listens on one address for each balancer and refuses by the address that was called. The fault is drawn from random numbers of its own, so that earlier seeds keep their faults.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 FUZZ_TARGETS := $(addprefix fuzz/fuzz-,platform settings sharing-message)
 WARNINGS := --warnlevel 2 --werror
 
-.PHONY: all deps check lint format soak fuzz clean
+.PHONY: all deps check lint format scenario soak fuzz clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -43,6 +43,14 @@
 	$(BUILD)/standins/parsleyladder-soak $(BUILD)/parsleyladder/parsleyladder \
 		--seeds $(SEEDS) --seconds $(SECONDS)
 
+# All scenarios, or the one given as FILE; fails if one of them fails.
+scenario: all
+	@failed=0; for file in $(or $(FILE),scenarios/*.scenario); do \
+		echo $$file; $(BUILD)/standins/parsleyladder-soak \
+			$(BUILD)/parsleyladder/parsleyladder \
+			--scenario $$file || failed=1; \
+	done; exit $$failed
+
 # make fuzz FUZZ_SECONDS=600 runs each target for ten minutes.
 $(FUZZ)/build.ninja: | deps
 	CC=clang meson setup $(FUZZ) -Dfuzz=true
--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -78,6 +78,8 @@
 	uint32_t seed;
 	uint32_t net; /* second octet of all addresses of this run */
 	GRand *random;
+	/* Of faults that came later: seeds keep what they drew before. */
+	GRand *more_random;
 	const struct clock *clock;
 	int64_t started_ns;
 	char *folder;
@@ -120,6 +122,12 @@
 	__attribute__((format(printf, 2, 3)));
 extern const char *const soak_check_names[SOAK_CHECKS];
 
+/** Where the store listens for the first balancer; the others follow. */
+static inline uint32_t soak_store_address(const struct soak *soak)
+{
+	return 0x7f000001u | soak->net << 16 | 1 << 8;
+}
+
 /* Balancers: fleet.c. */
 void soak_balancer_start(struct soak_balancer *balancer);
 void soak_balancers_watch(struct soak *soak);
@@ -146,11 +154,20 @@
 void soak_routes_try(struct soak *soak);
 
 /* Faults: faults.c. */
+/** A fault that the seed draws. */
 void soak_fault(struct soak *soak);
+/** False if there is no fault of this name. */
+bool soak_fault_begin(struct soak *soak, const char *name);
 /** True once everything that a fault did has ended. */
 bool soak_faults_are_over(void);
 void soak_faults_tick(struct soak *soak);
 
+/* Scripts: script.c. */
+/** Reads "SECONDS FAULT" lines; ends the process if the file is not valid. */
+GPtrArray *soak_script_load(const char *path);
+/** Begins each fault at its time; ends the process at an unknown name. */
+void soak_script_run(struct soak *soak, const GPtrArray *script);
+
 #define SOAK_SERVICE_ADDRESS 0xc6336401u /* 198.51.100.1, and the next */
 #define SOAK_SERVICE_PORT 443
 #define SOAK_EXTRA_PORT 8443
--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <string.h>
 
 #include "standins/soak/soak.h"
 
@@ -275,16 +276,72 @@
 		       values[draw(soak, G_N_ELEMENTS(values))]);
 }
 
-static void (*const faults[])(struct soak *soak) = {
-	fault_kill,	  fault_kill,	    fault_kill_all,   fault_stop,
-	fault_stop,	  fault_freeze,	    fault_cut,	      fault_settings,
-	fault_store,	  fault_store,	    fault_history,    fault_host_crash,
-	fault_host_crash, fault_host_drain, fault_host_drain, fault_routes,
-	fault_routes,	  fault_foreign,
+static void refusal_end(struct soak *soak, uint32_t index)
+{
+	soak_store_set_refused(soak->store, index, false);
+}
+
+/*
+ * The store turns one balancer away, perhaps the reader of its zone; what is
+ * promised holds there all the same, so it does not count as disturbed.
+ */
+static void fault_refusal(struct soak *soak)
+{
+	uint32_t index = (uint32_t)g_rand_int_range(
+		soak->more_random, 0, (gint32)soak->balancer_count);
+
+	soak_note(soak, "store refuses b%u", index);
+	soak_store_set_refused(soak->store, index, true);
+	later(soak, 3000, index, refusal_end);
+}
+
+/* How often a fault is drawn, of eighteen; the order belongs to the seeds. */
+static const struct {
+	const char *name;
+	void (*begin)(struct soak *soak);
+	uint32_t weight;
+} faults[] = {
+	{ "kill", fault_kill, 2 },
+	{ "kill-all", fault_kill_all, 1 },
+	{ "stop", fault_stop, 2 },
+	{ "freeze", fault_freeze, 1 },
+	{ "cut", fault_cut, 1 },
+	{ "settings", fault_settings, 1 },
+	{ "store", fault_store, 2 },
+	{ "history", fault_history, 1 },
+	{ "host-crash", fault_host_crash, 2 },
+	{ "host-drain", fault_host_drain, 2 },
+	{ "routes", fault_routes, 2 },
+	{ "foreign", fault_foreign, 1 },
+	{ "refusal", fault_refusal, 0 },
 };
 
+#define FAULT_WEIGHTS 18
+#define REFUSAL_SHARE 0.1
+
 void soak_fault(struct soak *soak)
 {
+	uint32_t drawn = draw(soak, FAULT_WEIGHTS);
+	size_t i = 0;
+
+	while (drawn >= faults[i].weight)
+		drawn -= faults[i++].weight;
+	soak->faults++;
+	faults[i].begin(soak);
+	if (g_rand_double(soak->more_random) >= REFUSAL_SHARE)
+		return;
 	soak->faults++;
-	faults[draw(soak, G_N_ELEMENTS(faults))](soak);
+	fault_refusal(soak);
+}
+
+bool soak_fault_begin(struct soak *soak, const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		if (strcmp(faults[i].name, name) != 0)
+			continue;
+		soak->faults++;
+		faults[i].begin(soak);
+		return true;
+	}
+	return false;
 }
--- a/standins/soak/fleet.c
+++ b/standins/soak/fleet.c
@@ -28,7 +28,7 @@
 	char *packets = address_print(balancer->address, soak->packet_port);
 	char *ready = address_print(balancer->address, soak->readiness_port);
 	char *control = address_print(balancer->address, soak->control_port);
-	char *store = address_print(0x7f000001u | soak->net << 16 | 1 << 8,
+	char *store = address_print(soak_store_address(soak) + balancer->index,
 				    soak->store_port);
 	GString *text = g_string_new(NULL);
 	uint32_t first = (uint32_t)g_rand_int_range(
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -28,6 +28,7 @@
 	uint32_t hosts;
 	uint32_t callers;
 	const char *folder;
+	GPtrArray *script; /* NULL for faults that the seed draws */
 };
 
 /* A port that is free on the loopback address, for all addresses of the run. */
@@ -52,6 +53,7 @@
 	char *name = g_strdup_printf("seed-%u", soak->seed);
 
 	soak->random = g_rand_new_with_seed(soak->seed);
+	soak->more_random = g_rand_new_with_seed(soak->seed);
 	soak->net = 16 + soak->seed % 200;
 	soak->clock = clock_system();
 	soak->binary = arguments->binary;
@@ -67,8 +69,9 @@
 	soak->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	soak->callers = g_ptr_array_new();
-	soak->store = soak_store_create(0x7f000001u | soak->net << 16 | 1 << 8,
-					soak->store_port, soak->seed);
+	soak->store = soak_store_create(soak_store_address(soak),
+					arguments->balancers, soak->store_port,
+					soak->seed);
 	g_free(name);
 }
 
@@ -133,7 +136,7 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static void faults_run(struct soak *soak, uint32_t seconds)
+static void faults_draw(struct soak *soak, uint32_t seconds)
 {
 	int64_t end_ns = soak_now(soak) + seconds * NS_PER_S;
 
@@ -143,6 +146,14 @@
 			soak->random, 0, 2 * FAULT_INTERVAL_MS / 1000.0));
 		soak_fault(soak);
 	}
+}
+
+static void faults_run(struct soak *soak, const struct arguments *arguments)
+{
+	if (arguments->script)
+		soak_script_run(soak, arguments->script);
+	else
+		faults_draw(soak, arguments->seconds);
 	while (!soak_faults_are_over())
 		process_sleep(0.1);
 	process_sleep(SETTLE_S);
@@ -177,6 +188,7 @@
 	soak_store_destroy(soak->store);
 	g_hash_table_unref(soak->runs);
 	g_rand_free(soak->random);
+	g_rand_free(soak->more_random);
 	g_free(soak->folder);
 }
 
@@ -199,7 +211,7 @@
 	sources[1] = g_timeout_add(500, on_watch, soak);
 	sources[2] = g_timeout_add(250, on_routes, soak);
 	process_sleep(START_S);
-	faults_run(soak, arguments->seconds);
+	faults_run(soak, arguments);
 	recovery_check(soak);
 	for (size_t i = 0; i < G_N_ELEMENTS(sources); i++)
 		g_source_remove(sources[i]);
@@ -224,6 +236,7 @@
 	KEY_HOSTS = 'h',
 	KEY_CALLERS = 'c',
 	KEY_FOLDER = 'o',
+	KEY_SCENARIO = 'f',
 };
 
 static const struct argp_option options[] = {
@@ -232,6 +245,8 @@
 	{ "balancers", KEY_BALANCERS, "N", 0, "8 by default", 0 },
 	{ "hosts", KEY_HOSTS, "N", 0, "18 by default", 0 },
 	{ "callers", KEY_CALLERS, "N", 0, "60 by default", 0 },
+	{ "scenario", KEY_SCENARIO, "FILE", 0,
+	  "Faults at the times that the file gives", 0 },
 	{ "output", KEY_FOLDER, "FOLDER", 0, "Settings and logs, out/soak", 0 },
 	{ 0 },
 };
@@ -261,6 +276,9 @@
 	case KEY_FOLDER:
 		arguments->folder = argument;
 		return 0;
+	case KEY_SCENARIO:
+		arguments->script = soak_script_load(argument);
+		return 0;
 	case ARGP_KEY_ARG:
 		arguments->binary = argument;
 		return 0;
@@ -314,6 +332,8 @@
 	printf("figure soak_violations %" PRIu64 " violations\n", figures[2]);
 	printf("%u passed, %u failed\n",
 	       arguments.last - arguments.first + 1 - failed, failed);
+	if (arguments.script)
+		g_ptr_array_unref(arguments.script);
 	g_free(soak);
 	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -30,6 +30,9 @@
 	uint64_t revision;
 	uint64_t floor; /* history before is dropped */
 	enum store_fault fault;
+	uint32_t address; /* of the first balancer's endpoint */
+	uint32_t count;
+	bool *is_refused; /* by number of the balancer */
 };
 
 static void item_free(void *data)
@@ -170,6 +173,18 @@
 	return G_SOURCE_REMOVE;
 }
 
+static bool request_is_refused(const struct soak_store *store,
+			       SoupServerMessage *message)
+{
+	GSocketAddress *local = soup_server_message_get_local_address(message);
+	GInetAddress *address =
+		g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(local));
+	uint32_t number_in;
+
+	memcpy(&number_in, g_inet_address_to_bytes(address), sizeof(number_in));
+	return store->is_refused[ntohl(number_in) - store->address];
+}
+
 static void request_handle(SoupServer *server, SoupServerMessage *message,
 			   const char *path, GHashTable *query, gpointer data)
 {
@@ -178,7 +193,7 @@
 	uint64_t after = number(query, "after");
 
 	(void)server;
-	if (store->fault == STORE_BUSY) {
+	if (store->fault == STORE_BUSY || request_is_refused(store, message)) {
 		soup_server_message_set_status(message, 503, NULL);
 	} else if (store->fault == STORE_SILENT ||
 		   (store->fault == STORE_LOSING &&
@@ -199,31 +214,46 @@
 	}
 }
 
-struct soak_store *soak_store_create(uint32_t address, uint16_t port,
-				     uint32_t seed)
+static void listen_on(struct soak_store *store, uint32_t address, uint16_t port)
 {
-	struct soak_store *store = g_new0(struct soak_store, 1);
 	struct in_addr number_in = { .s_addr = htonl(address) };
-	GSocketAddress *endpoint;
+	GSocketAddress *endpoint = g_inet_socket_address_new_from_string(
+		inet_ntoa(number_in), port);
 	GError *error = NULL;
 
+	if (!soup_server_listen(store->server, endpoint, 0, &error))
+		g_error("store: %s", error->message);
+	g_object_unref(endpoint);
+}
+
+struct soak_store *soak_store_create(uint32_t address, uint32_t count,
+				     uint16_t port, uint32_t seed)
+{
+	struct soak_store *store = g_new0(struct soak_store, 1);
+
 	store->items =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
 	store->waiting = g_ptr_array_new_with_free_func(waiting_free);
 	store->kept = g_ptr_array_new_with_free_func(g_object_unref);
 	store->random = g_rand_new_with_seed(seed);
 	store->revision = 1;
+	store->address = address;
+	store->count = count;
+	store->is_refused = g_new0(bool, count);
 	store->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(store->server, NULL, request_handle, store,
 				NULL);
-	endpoint = g_inet_socket_address_new_from_string(inet_ntoa(number_in),
-							 port);
-	if (!soup_server_listen(store->server, endpoint, 0, &error))
-		g_error("store: %s", error->message);
-	g_object_unref(endpoint);
+	for (uint32_t i = 0; i < count; i++)
+		listen_on(store, address + i, port);
 	return store;
 }
 
+void soak_store_set_refused(struct soak_store *store, uint32_t index,
+			    bool is_refused)
+{
+	store->is_refused[index] = is_refused;
+}
+
 void soak_store_destroy(struct soak_store *store)
 {
 	soup_server_disconnect(store->server);
@@ -232,6 +262,7 @@
 	g_object_unref(store->server);
 	g_hash_table_unref(store->items);
 	g_rand_free(store->random);
+	g_free(store->is_refused);
 	g_free(store);
 }
 
