Let the soak see flows that are sent to another host

The check flow_moved looked at answers only.

Ruled out: counting all resets of hosts; hosts that restarted send them too.

--- a/standins/soak/hosts.c
+++ b/standins/soak/hosts.c
@@ -218,6 +218,30 @@
 	packet_send(host, &answer);
 }
 
+/* A packet that does not open a flow went to a host that does not have it. */
+static void moved_check(const struct soak_host *host, const char *key,
+			const struct soak_balancer *sender)
+{
+	struct soak *soak = host->soak;
+
+	for (uint32_t i = 0; i < soak->host_count; i++) {
+		const struct soak_host *other = &soak->hosts[i];
+		const struct host_flow *flow;
+
+		if (other == host || !other->socket)
+			continue;
+		flow = g_hash_table_lookup(other->flows, key);
+		if (flow && flow->has_request && sender &&
+		    soak_is_calm(soak, sender->disturbed_ns) &&
+		    soak_is_calm(soak, other->disturbed_ns))
+			soak_violation(soak, CHECK_FLOW_MOVED,
+				       "%s of host %08" PRIx64 " sent to "
+				       "%08" PRIx64 " by b%u",
+				       key, other->number, host->number,
+				       sender->index);
+	}
+}
+
 static void packet_handle(struct soak_host *host, struct soak_packet *packet,
 			  const struct soak_balancer *sender)
 {
@@ -233,6 +257,7 @@
 
 		reset.flags = SOAK_RST;
 		packet_send(host, &reset);
+		moved_check(host, key, sender);
 	} else if (packet->data_bytes > 0) {
 		request_handle(host, flow, packet);
 	}
