Remove field types that no setting has, and give admin_token its effect

Ruled out: removing the token; an administration address that others reach needs one.

Change: the types are gone; admin_token is a setting (secret, empty by default, so the deployment does not change), and /v1/services/NAME prints the hosts of a service.

--- a/configuration/field_print.c
+++ b/configuration/field_print.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "configuration/field_reader.h"
-#include "packet/packet.h"
 
 #define SECRET_MASK "***"
 
@@ -14,13 +13,6 @@
 				       choice->name);
 }
 
-static const char *list_elements(enum field_type type)
-{
-	if (type == FIELD_OBJECT_LIST)
-		return "objects";
-	return type == FIELD_KEY_LIST ? "keys" : "texts";
-}
-
 void field_print_allowed(const struct field *field, GString *text)
 {
 	switch (field->type) {
@@ -38,24 +30,14 @@
 	case FIELD_CHOICE:
 		print_choices(field, text);
 		break;
-	case FIELD_ADDRESS:
-	case FIELD_ADDRESS_TEXT:
-		g_string_append(text, "an IPv4 or IPv6 address");
-		break;
-	case FIELD_KEY:
-		g_string_append(text, "40 characters of Z85");
-		break;
-	case FIELD_URL:
-		g_string_append(text, "an http URL without query");
-		break;
 	case FIELD_TEXT_LIST:
-	case FIELD_KEY_LIST:
 	case FIELD_OBJECT_LIST:
-		g_string_append_printf(text,
-				       "a list of %" G_GINT64_FORMAT
-				       " to %" G_GINT64_FORMAT " %s",
-				       field->min, field->max,
-				       list_elements(field->type));
+		g_string_append_printf(
+			text,
+			"a list of %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+			" %s",
+			field->min, field->max,
+			field->type == FIELD_OBJECT_LIST ? "objects" : "texts");
 		break;
 	default:
 		g_string_append_printf(text,
@@ -119,7 +101,6 @@
 			JsonBuilder *builder)
 {
 	const char *member = (const char *)source + field->offset;
-	char text[IP_ADDRESS_TEXT_BYTES];
 
 	switch (field->type) {
 	case FIELD_INTEGER:
@@ -131,12 +112,7 @@
 			builder,
 			choice_name(field, load_integer(field, member)));
 		break;
-	case FIELD_ADDRESS:
-		ip_address_print((const struct ip_address *)member, text);
-		json_builder_add_string_value(builder, text);
-		break;
 	case FIELD_TEXT_LIST:
-	case FIELD_KEY_LIST:
 		print_texts(*(char *const *const *)member, builder);
 		break;
 	case FIELD_OBJECT_LIST:
@@ -201,8 +177,7 @@
 
 		if (field->type == FIELD_OBJECT_LIST)
 			clear_objects(field, target);
-		if (field->type == FIELD_TEXT_LIST ||
-		    field->type == FIELD_KEY_LIST) {
+		if (field->type == FIELD_TEXT_LIST) {
 			g_strfreev(*(char ***)member);
 			*(char ***)member = NULL;
 		}
--- a/configuration/field_reader.c
+++ b/configuration/field_reader.c
@@ -4,16 +4,10 @@
 #include <string.h>
 
 #include "common/name.h"
-#include "packet/packet.h"
 
 /** Longest part of a bad value that an error message repeats, in bytes. */
 #define VALUE_BYTES_MAX 64
 
-#define Z85_CHARACTERS                         \
-	"0123456789abcdefghijklmnopqrstuvwxyz" \
-	"ABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()[]{}@%$#"
-#define Z85_KEY_BYTES 40
-
 void field_reader_init(struct field_reader *reader, const char *source,
 		       enum error_kind kind, struct error *error)
 {
@@ -119,50 +113,14 @@
 	return true;
 }
 
-static bool url_is_valid(const char *text)
-{
-	GUri *uri;
-	bool is_valid;
-
-	if (!*text)
-		return true;
-	uri = g_uri_parse(text, G_URI_FLAGS_NONE, NULL);
-	if (!uri)
-		return false;
-	is_valid = strcmp(g_uri_get_scheme(uri), "http") == 0 &&
-		   g_uri_get_host(uri) && *g_uri_get_host(uri) &&
-		   !g_uri_get_query(uri) && !g_uri_get_fragment(uri);
-	g_uri_unref(uri);
-	return is_valid;
-}
-
-static bool key_is_valid(const char *text)
-{
-	size_t length = strlen(text);
-
-	return length == 0 || (length == Z85_KEY_BYTES &&
-			       strspn(text, Z85_CHARACTERS) == length);
-}
-
 static bool text_is_valid(const struct field *field, const char *text)
 {
-	struct ip_address address;
 	int64_t length = (int64_t)strlen(text);
 
-	switch (field->type) {
-	case FIELD_NAME:
+	if (field->type == FIELD_NAME)
 		return name_is_valid(text);
-	case FIELD_ADDRESS:
-	case FIELD_ADDRESS_TEXT:
-		return ip_address_parse(text, &address);
-	case FIELD_KEY:
-		return key_is_valid(text) && (length > 0 || field->min == 0);
-	case FIELD_URL:
-		return length <= field->max && url_is_valid(text);
-	default:
-		return length >= field->min && length <= field->max &&
-		       text_is_printable(text);
-	}
+	return length >= field->min && length <= field->max &&
+	       text_is_printable(text);
 }
 
 /** Text of @node if it is a valid one for @field, else NULL. */
@@ -260,9 +218,9 @@
 static bool read_texts(struct field_reader *reader, const struct field *field,
 		       JsonNode *node, void *target)
 {
-	/* Each element is checked as a text of 1 to 255 bytes, or a key. */
+	/* Each element is checked as a text of 1 to 255 bytes. */
 	struct field element = {
-		.type = field->type == FIELD_KEY_LIST ? FIELD_KEY : FIELD_TEXT,
+		.type = FIELD_TEXT,
 		.min = 1,
 		.max = 255,
 	};
@@ -335,7 +293,6 @@
 	case FIELD_OBJECT_LIST:
 		return read_objects(reader, field, node, target);
 	case FIELD_TEXT_LIST:
-	case FIELD_KEY_LIST:
 		return read_texts(reader, field, node, target);
 	default:
 		break;
@@ -343,8 +300,6 @@
 	text = read_text(reader, field, node);
 	if (!text)
 		return false;
-	if (field->type == FIELD_ADDRESS)
-		return ip_address_parse(text, (struct ip_address *)member);
 	g_strlcpy(member, text, field->size);
 	return true;
 }
@@ -370,10 +325,8 @@
 		store_integer(field, target, field->integer_default);
 		break;
 	case FIELD_TEXT_LIST:
-	case FIELD_KEY_LIST:
 		*(char ***)member = g_new0(char *, 1);
 		break;
-	case FIELD_ADDRESS:
 	case FIELD_OBJECT_LIST:
 		break;
 	default:
--- a/include/configuration/field_reader.h
+++ b/include/configuration/field_reader.h
@@ -19,12 +19,7 @@
 	FIELD_TEXT, /* char array: printable text */
 	FIELD_INTEGER, /* uint16_t, uint32_t or uint64_t */
 	FIELD_CHOICE, /* uint8_t or enum */
-	FIELD_ADDRESS, /* struct ip_address */
-	FIELD_ADDRESS_TEXT, /* char array with an IP address */
-	FIELD_KEY, /* char array with a CURVE key in Z85 */
-	FIELD_URL, /* char array with an http URL */
 	FIELD_TEXT_LIST, /* NULL-terminated char ** */
-	FIELD_KEY_LIST, /* NULL-terminated char ** */
 	FIELD_OBJECT_LIST, /* pointer to an array, and a size_t count */
 };
 
--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -17,6 +17,8 @@
 /** Longest text IP:PORT, in bytes with the terminating NUL. */
 #define ENDPOINT_TEXT_BYTES 64
 
+#define ADMIN_TOKEN_BYTES_MAX 63
+
 enum zone_preference {
 	ZONE_LOCAL_FIRST,
 	ZONE_ANY,
@@ -47,6 +49,8 @@
 	char readiness_endpoint[ENDPOINT_TEXT_BYTES];
 	char control_endpoint[ENDPOINT_TEXT_BYTES]; /* of the other balancers */
 	char admin_endpoint[ENDPOINT_TEXT_BYTES]; /* "" = none */
+	/* Bearer token of the administration API; "" = none. */
+	char admin_token[ADMIN_TOKEN_BYTES_MAX + 1];
 	char store_endpoint[ENDPOINT_TEXT_BYTES];
 	uint16_t sharing_port; /* UDP, the same on all balancers */
 	char core_share[16]; /* processor of the instance, in cores */
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -100,6 +100,27 @@
 	json_builder_end_array(builder);
 }
 
+static bool service_print(void *context, const char *name, JsonBuilder *builder,
+			  struct error *error)
+{
+	struct balancer *balancer = context;
+	const GPtrArray *hosts =
+		host_table_service(steering_hosts(balancer->steering), name);
+
+	if (!hosts)
+		return error_set(error, ERROR_NOT_FOUND, "no service '%.64s'",
+				 name);
+	json_builder_begin_object(builder);
+	json_member_string(builder, "service", name);
+	json_builder_set_member_name(builder, "hosts");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < hosts->len; i++)
+		host_print(balancer, g_ptr_array_index(hosts, i), builder);
+	json_builder_end_array(builder);
+	json_builder_end_object(builder);
+	return true;
+}
+
 /* Each belief with its source, version and age. */
 static void knowledge_print(const struct balancer *balancer,
 			    JsonBuilder *builder)
@@ -234,7 +255,9 @@
 	struct endpoint endpoint;
 	struct admin_options options = {
 		.print_state = state_print,
+		.token = balancer->settings->admin_token,
 		.print_members = members_print,
+		.print_service = service_print,
 		.print_explain = explain_print,
 		.print_counters = counters_print,
 		.print_metrics = metrics_print,
--- a/tests/configuration/test_settings.c
+++ b/tests/configuration/test_settings.c
@@ -113,6 +113,9 @@
 		{ "703", "703,\"seeds\":[\"x\",7]",
 		  "test: $.seeds[1]: 7 is not a string, allowed 1 to 255 "
 		  "printable bytes" },
+		{ "703", "703,\"admin_token\":\"a\\nb\"",
+		  "test: $.admin_token: (secret) is not valid, allowed 0 to 63 "
+		  "printable bytes" },
 		{ "}", "}x", "test: line 1: text after the end of the object" },
 		{ "}", "", "test: line 1: text ends within an object" },
 	};
@@ -183,7 +186,7 @@
 	Suite *suite = suite_create("token settings");
 	TCase *cases = tcase_create("settings");
 
-	tcase_add_loop_test(cases, errors_name_place_value_and_range, 0, 18);
+	tcase_add_loop_test(cases, errors_name_place_value_and_range, 0, 19);
 	tcase_add_test(cases, empty_text_is_refused);
 	tcase_add_loop_test(cases, settings_are_checked, 0, 16);
 	tcase_add_loop_test(cases, endpoints_are_checked, 0, 5);
