Give an idle host time to answer before its flows are reset

Cause: the 600 ms of silence were counted from the last progress. A host that had no requests for seconds met them at once: three callers that each repeat a request after 200 ms made it silent, though it had been asked for 200 ms only. Hosts are as slow as that after their start and in crowds.

Ruled out: more repeats; on sites with 150 hosts a balancer has few callers for each host, so real silence would be seen later.

Change: silence counts from the later of the last progress and 200 ms before the first repeated packet. A busy host that stops is given up as early as before.

--- a/steering/evidence.c
+++ b/steering/evidence.c
@@ -5,6 +5,8 @@
 /* A host that was cut off is usually back within a few seconds. */
 #define TRIAL_DELAY_MIN_MS 500
 #define TRIAL_DELAY_MAX_MS 4000
+/* A packet is repeated after about this time, so the host had it so long. */
+#define FIRST_REPEAT_NS (200 * NS_PER_MS)
 /* Repeated packets that are further apart are lost ones. */
 #define MISS_MEMORY_NS (2 * NS_PER_S)
 /* Weight of the newest interval is one in this many. */
@@ -148,6 +150,15 @@
 	       evidence_eject(evidence, now_ns);
 }
 
+/* A host without requests is quiet, but not silent. */
+static int64_t asked_since_ns(const struct host_evidence *evidence)
+{
+	int64_t asked_ns = evidence->first_miss_ns - FIRST_REPEAT_NS;
+
+	return asked_ns > evidence->progress_ns ? asked_ns
+						: evidence->progress_ns;
+}
+
 bool evidence_miss(struct host_evidence *evidence, int64_t now_ns)
 {
 	if (!evidence_is_silent(evidence) &&
@@ -157,7 +168,7 @@
 		evidence->first_miss_ns = now_ns;
 	evidence->misses++;
 	if (evidence->misses < EVIDENCE_MISSES_MIN ||
-	    now_ns - evidence->progress_ns < EVIDENCE_SILENCE_NS)
+	    now_ns - asked_since_ns(evidence) < EVIDENCE_SILENCE_NS)
 		return false;
 	return evidence_eject(evidence, now_ns);
 }
--- a/tests/steering/test_host_watch.c
+++ b/tests/steering/test_host_watch.c
@@ -39,6 +39,31 @@
 }
 END_TEST
 
+/*
+ * A host that had nothing to do for seconds has been asked for 200 ms only when
+ * three callers repeat their requests; it may be slow, as after its start.
+ */
+START_TEST(idle_host_has_time_to_answer) {
+	struct known_host *host = fixture_host(&fixture, 1);
+
+	for (uint16_t port = 1; port <= 3; port++) {
+		packet_data(&fixture, port, host->token, 500, 1000);
+		packet_ack(&fixture, port, host->token, 600, 1001);
+	}
+	fixture_advance(&fixture, 5000);
+	for (uint16_t port = 1; port <= 3; port++)
+		packet_data(&fixture, port, host->token, 700, 1001);
+	fixture_advance(&fixture, 200);
+	for (uint16_t port = 1; port <= 3; port++)
+		packet_data(&fixture, port, host->token, 700, 1001);
+	ck_assert(!evidence_is_silent(&host->evidence));
+	ck_assert_uint_eq(fixture.reset_count, 0);
+	fixture_advance(&fixture, 400);
+	packet_data(&fixture, 1, host->token, 700, 1001);
+	ck_assert(evidence_is_silent(&host->evidence));
+}
+END_TEST
+
 START_TEST(host_that_serves_others_is_not_silent) {
 	struct known_host *host = flow_open(&fixture, 1);
 
@@ -318,6 +343,7 @@
 
 	tcase_add_checked_fixture(cases, hosts_open, hosts_close);
 	tcase_add_test(cases, silent_host_loses_its_flows);
+	tcase_add_test(cases, idle_host_has_time_to_answer);
 	tcase_add_test(cases, host_that_serves_others_is_not_silent);
 	tcase_add_test(cases, late_acknowledgement_hides_no_silence);
 	tcase_add_test(cases, full_host_gets_no_new_flow);
