Add an experiment report over the scenarios; end listings that came too late

On reading the diff: a listing of a peer went on being kept after the store's listing had completed the table, until its source answered again.

Ruled out: a tool in C for the report; the soak prints what it needs.

Change: make report VARIANTS="name=binary ..." plays all scenarios with each binary and writes a table and a plot (gnuplot). A balancer whose table is complete drops the listing of a peer.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 FUZZ_TARGETS := $(addprefix fuzz/fuzz-,platform settings sharing-message)
 WARNINGS := --warnlevel 2 --werror
 
-.PHONY: all deps check lint format scenario soak fuzz clean
+.PHONY: all deps check lint format scenario soak report fuzz clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -51,6 +51,11 @@
 			--scenario $$file || failed=1; \
 	done; exit $$failed
 
+# make report VARIANTS="before=/path/to/parsleyladder now=build/parsleyladder/parsleyladder"
+VARIANTS := now=$(BUILD)/parsleyladder/parsleyladder
+report: all
+	scripts/experiment $(BUILD)/standins/parsleyladder-soak out/report $(VARIANTS)
+
 # make fuzz FUZZ_SECONDS=600 runs each target for ten minutes.
 $(FUZZ)/build.ninja: | deps
 	CC=clang meson setup $(FUZZ) -Dfuzz=true
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -126,8 +126,11 @@
 
 static void listing_tick(struct sharing *sharing, int64_t now_ns)
 {
-	if (sharing->options.knowledge->is_complete)
+	if (sharing->options.knowledge->is_complete) {
+		/* The store was faster. */
+		listing_drop(sharing);
 		return;
+	}
 	if (sharing->is_listing && now_ns - sharing->page_ns < PAGE_LOST_NS) {
 		if (now_ns - sharing->page_asked_ns >= PAGE_REPEAT_NS)
 			poll_send_to(sharing, sharing->listing_source);
