--- a/registry/backoff.c
+++ b/http/backoff.c
@@ -1,4 +1,4 @@
-#include "registry/backoff.h"
+#include "http/backoff.h"
 
 /** Doublings after which the bound is the largest one in any case. */
 #define ATTEMPT_MAX 16
--- a/registry/http_client.c
+++ b/http/http_client.c
@@ -1,4 +1,4 @@
-#include "registry/http_client.h"
+#include "http/http_client.h"
 
 #include <libsoup/soup.h>
 #include <stdbool.h>
--- a/include/registry/backoff.h
+++ b/include/http/backoff.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYLADDER_REGISTRY_BACKOFF_H
-#define PARSLEYLADDER_REGISTRY_BACKOFF_H
+#ifndef PARSLEYLADDER_HTTP_BACKOFF_H
+#define PARSLEYLADDER_HTTP_BACKOFF_H
 
 /**
  * Exponential backoff with jitter, so that many instances that fail together
--- a/include/registry/http_client.h
+++ b/include/http/http_client.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYLADDER_REGISTRY_HTTP_CLIENT_H
-#define PARSLEYLADDER_REGISTRY_HTTP_CLIENT_H
+#ifndef PARSLEYLADDER_HTTP_HTTP_CLIENT_H
+#define PARSLEYLADDER_HTTP_HTTP_CLIENT_H
 
 /**
  * Asynchronous HTTP GET with a bound on the size and the duration of an answer.
--- a/include/parsleyladder/forwarder.h
+++ b/include/parsleyladder/forwarder.h
@@ -2,7 +2,7 @@
 #define PARSLEYLADDER_PARSLEYLADDER_FORWARDER_H
 
 /**
- * Data path of a balancer whose packets carry tokens: receives packets from
+ * Data path of a balancer: receives packets from
  * the fabric, asks the steering core, and carries out its decision.
  */
 
--- a/steering/host_watch.c
+++ b/steering/host_watch.c
@@ -5,7 +5,7 @@
 
 /*
  * A host that is no longer published may be published again two seconds after
- * the registry is back, and its open flows go on meanwhile.
+ * the store is back, and its open flows go on meanwhile.
  */
 #define GONE_GRACE_NS (2 * NS_PER_S)
 /* Silent hosts, without any host that answers, that show an isolation. */
