Give the balancer's test an address of its own

The test looked for free ports with UDP sockets and closed them; the readiness server listens on TCP, where another process had that port.

Ruled out: the balancer; it reported the port that was taken, as it should.

Change: the test listens on an address of the loopback network made of its process id, so no port of others matters. It checks the same things.

--- a/tests/parsleyladder/test_balancer.c
+++ b/tests/parsleyladder/test_balancer.c
@@ -16,6 +16,11 @@
 #include "suite.h"
 
 #define DECISION_NS 3000
+/* On an address of the test's own. */
+#define PACKET_PORT 7000
+#define READINESS_PORT 7001
+#define CONTROL_PORT 7002
+#define SHARING_PORT 7003
 #define DEADLINE_US (5 * G_USEC_PER_SEC)
 
 /* A clock that moves by DECISION_NS with each reading. */
@@ -27,7 +32,6 @@
 static struct stepping_clock stepping;
 static struct balancer *balancer;
 static char *settings_path;
-static uint16_t packet_port;
 
 static void stepping_now(void *context, struct timespec *out)
 {
@@ -38,38 +42,36 @@
 	out->tv_nsec = clock->now_ns % NS_PER_S;
 }
 
-/* A port that was free a moment ago. */
-static uint16_t port_find(void)
+/*
+ * An address of the loopback network that no other process uses: a port that
+ * is free for UDP may be taken for TCP, and one that was free a moment ago may
+ * be taken now.
+ */
+static struct in_addr own_address(void)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t length = sizeof(address);
-	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	uint32_t pid = (uint32_t)getpid();
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)),
-			 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length),
-			 0);
-	close(fd);
-	return ntohs(address.sin_port);
+	return (struct in_addr){ htonl(0x7f400000 | (pid & 0x3fffff)) };
 }
 
 static void balancer_open(void)
 {
 	struct error error = { 0 };
+	char address[INET_ADDRSTRLEN];
 	char *text;
 	int fd = g_file_open_tmp("balancer-XXXXXX", &settings_path, NULL);
 
 	ck_assert_int_ge(fd, 0);
 	close(fd);
-	packet_port = port_find();
+	g_strlcpy(address, inet_ntoa(own_address()), sizeof(address));
 	text = g_strdup_printf(
 		"{\"instance_id\":\"entry-1\",\"availability_zone\":\"a\","
-		"\"packet_endpoint\":\"127.0.0.1:%u\","
-		"\"readiness_endpoint\":\"127.0.0.1:%u\","
-		"\"control_endpoint\":\"127.0.0.1:%u\",\"sharing_port\":%u,"
-		"\"store_endpoint\":\"127.0.0.1:1\",\"log_level\":\"error\"}",
-		packet_port, port_find(), port_find(), port_find());
+		"\"packet_endpoint\":\"%s:%u\","
+		"\"readiness_endpoint\":\"%s:%u\","
+		"\"control_endpoint\":\"%s:%u\",\"sharing_port\":%u,"
+		"\"store_endpoint\":\"%s:1\",\"log_level\":\"error\"}",
+		address, PACKET_PORT, address, READINESS_PORT, address,
+		CONTROL_PORT, SHARING_PORT, address);
 	ck_assert(g_file_set_contents(settings_path, text, -1, NULL));
 	g_free(text);
 	stepping = (struct stepping_clock){
@@ -109,12 +111,12 @@
 {
 	struct sockaddr_in target = {
 		.sin_family = AF_INET,
-		.sin_port = htons(packet_port),
+		.sin_port = htons(PACKET_PORT),
+		.sin_addr = own_address(),
 	};
 	uint8_t packet[DATAGRAM_HEADER_BYTES] = { [18] = 0x04 }; /* SYN */
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
 
-	target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	ck_assert_int_eq(sendto(fd, packet, sizeof(packet), 0,
 				(struct sockaddr *)&target, sizeof(target)),
 			 sizeof(packet));
