Check the nesting of what the store holds before it is parsed

Cause: platform/items.c parsed JSON beside configuration/json_text, whose header says why it exists: json-glib recurses for each level. An entry that any writer puts into the store with 100,000 open brackets ended each balancer that read it (segmentation fault; 10,000 did not). Found on reading the change.

Ruled out: the strict parser of the settings; it refuses numbers of more than 18 characters and fields that occur twice, which hosts may write in fields that are none of ours.

Change: json_text_parse_lenient() runs the same scan, bounds the nesting at 64 and leaves strings, numbers and repeated fields alone.

Before and after: test deep_values_are_refused, signal 11, now refused as an entry that names no host. Two new cases (a long number, an escaped NUL and a bracket in a string) are accepted as before.

--- a/configuration/json_text.c
+++ b/configuration/json_text.c
@@ -8,6 +8,7 @@
 	size_t line;
 	size_t depth;
 	bool has_root;
+	bool is_lenient; /* any strings and numbers; deeper nesting */
 	const char *problem;
 };
 
@@ -24,12 +25,12 @@
 			scan->at++;
 			return true;
 		}
-		if ((unsigned char)*scan->at < ' ')
+		if (!scan->is_lenient && (unsigned char)*scan->at < ' ')
 			return scan_fail(scan, "control character in a string");
 		if (*scan->at != '\\')
 			continue;
 		/* Strings end at NUL in C, so the rest would be ignored. */
-		if (scan->end - scan->at >= 6 &&
+		if (!scan->is_lenient && scan->end - scan->at >= 6 &&
 		    memcmp(scan->at, "\\u0000", 6) == 0)
 			return scan_fail(scan, "NUL character in a string");
 		scan->at++;
@@ -45,7 +46,7 @@
 	while (scan->at < scan->end && *scan->at &&
 	       strchr("0123456789+-.eE", *scan->at))
 		scan->at++;
-	if (scan->at - start > JSON_TEXT_NUMBER_BYTES_MAX)
+	if (!scan->is_lenient && scan->at - start > JSON_TEXT_NUMBER_BYTES_MAX)
 		return scan_fail(scan, "number is longer than 18 characters");
 	digits = *start == '-' ? start + 1 : start;
 	if (digits == scan->at || !g_ascii_isdigit(*digits))
@@ -74,9 +75,12 @@
 
 static bool scan_bracket(struct scan *scan)
 {
+	size_t depth_max = scan->is_lenient ? JSON_TEXT_LENIENT_DEPTH_MAX
+					    : JSON_TEXT_DEPTH_MAX;
+
 	if (*scan->at == '{' || *scan->at == '[') {
 		scan->has_root = true;
-		if (++scan->depth > JSON_TEXT_DEPTH_MAX)
+		if (++scan->depth > depth_max)
 			return scan_fail(scan, "nested deeper than 16 levels");
 	} else if (scan->depth-- == 0) {
 		return scan_fail(scan, "bracket is closed but not open");
@@ -208,3 +212,22 @@
 	g_object_unref(parser);
 	return root;
 }
+
+JsonNode *json_text_parse_lenient(const char *data, size_t length)
+{
+	struct scan scan = {
+		.at = data,
+		.end = data + length,
+		.is_lenient = true,
+	};
+	JsonParser *parser;
+	JsonNode *root = NULL;
+
+	if (length == 0 || length > G_MAXINT32 || !scan_text(&scan))
+		return NULL;
+	parser = json_parser_new();
+	if (json_parser_load_from_data(parser, data, (gssize)length, NULL))
+		root = json_parser_steal_root(parser);
+	g_object_unref(parser);
+	return root;
+}
--- a/include/configuration/json_text.h
+++ b/include/configuration/json_text.h
@@ -13,6 +13,8 @@
 
 /** Deepest nesting of objects and arrays. */
 #define JSON_TEXT_DEPTH_MAX 16
+/** The same for text of other programs; keeps the recursion bounded. */
+#define JSON_TEXT_LENIENT_DEPTH_MAX 64
 /** Longest number; all integers of this length fit into 64 bits. */
 #define JSON_TEXT_NUMBER_BYTES_MAX 18
 
@@ -23,4 +25,11 @@
 JsonNode *json_text_parse(const char *source, const char *data, size_t length,
 			  enum error_kind kind, struct error *error);
 
+/**
+ * For text that others write, whose strings, numbers and repeated fields are
+ * theirs: bounds the nesting only. Returns a node that holds an object; free it
+ * with json_node_unref(). Returns NULL if the text is none.
+ */
+JsonNode *json_text_parse_lenient(const char *data, size_t length);
+
 #endif
--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -24,6 +24,13 @@
 		  STORE_ITEM_HOST },
 		{ "servers/i-7f", HOST(",\"state\":\"draining\",\"x\":[]"),
 		  STORE_ITEM_HOST },
+		/* Fields of others may have any number and any escape. */
+		{ "servers/i-7f",
+		  HOST(",\"state\":\"ready\",\"load\":0.30000000000000004"),
+		  STORE_ITEM_HOST },
+		{ "servers/i-7f",
+		  HOST(",\"state\":\"ready\",\"x\":\"a\\u0000[b\""),
+		  STORE_ITEM_HOST },
 		{ "servers/i-7f", HOST(",\"state\":\"sleeping\""),
 		  STORE_ITEM_FOREIGN },
 		{ "servers/i-7f", HOST(",\"state\":7"), STORE_ITEM_FOREIGN },
@@ -59,6 +66,33 @@
 }
 END_TEST
 
+/* One such entry ended every balancer: json-glib recurses for each level. */
+START_TEST(deep_values_are_refused) {
+	static const char *const keys[] = { "servers/i-7f", "op/config" };
+	GString *value = g_string_new("{\"a\":");
+	GString *body = g_string_new("{\"items\":");
+	struct error error = { 0 };
+	struct store_item item;
+	GBytes *bytes;
+
+	for (uint32_t i = 0; i < 200000; i++) {
+		g_string_append_c(value, '[');
+		g_string_append_c(body, '[');
+	}
+	for (size_t i = 0; i < 2; i++) {
+		store_item_parse(keys[i], value->str, value->len, 9, &item);
+		ck_assert_int_eq(item.kind, STORE_ITEM_FOREIGN);
+		ck_assert_ptr_nonnull(item.problem);
+		store_item_clear(&item);
+	}
+	bytes = g_string_free_to_bytes(body);
+	ck_assert_ptr_null(store_answer_parse(bytes, &error));
+	ck_assert_int_eq(error.kind, ERROR_PLATFORM);
+	g_bytes_unref(bytes);
+	g_string_free(value, TRUE);
+}
+END_TEST
+
 START_TEST(fields_of_a_host_are_read) {
 	static const char value[] = HOST(",\"state\":\"draining\"");
 	struct store_item item;
@@ -140,7 +174,8 @@
 	Suite *suite = suite_create("store items");
 	TCase *cases = tcase_create("items");
 
-	tcase_add_loop_test(cases, hosts_are_checked, 0, 14);
+	tcase_add_loop_test(cases, hosts_are_checked, 0, 16);
+	tcase_add_test(cases, deep_values_are_refused);
 	tcase_add_test(cases, fields_of_a_host_are_read);
 	tcase_add_test(cases, split_routes_keep_their_shares);
 	tcase_add_loop_test(cases, answers_are_checked, 0, 8);
