--- a/admin/response.c
+++ b/admin/response.c
@@ -1,5 +1,7 @@
 #include "admin/routes.h"
 
+#include "common/json_member.h"
+
 static void response_set(SoupServerMessage *message, int status,
 			 const char *content_type, const char *body,
 			 size_t length)
@@ -45,10 +47,8 @@
 	char *detail = g_utf8_make_valid(error->detail, -1);
 
 	json_builder_begin_object(builder);
-	json_builder_set_member_name(builder, "error");
-	json_builder_add_string_value(builder, answer->name);
-	json_builder_set_member_name(builder, "detail");
-	json_builder_add_string_value(builder, detail);
+	json_member_string(builder, "error", answer->name);
+	json_member_string(builder, "detail", detail);
 	json_builder_end_object(builder);
 	response_set_json(message, status ? status : answer->http_status,
 			  builder);
--- a/include/sharing/routing_codec.h
+++ b/include/sharing/routing_codec.h
@@ -13,11 +13,13 @@
 /** Largest encoded routes, in bytes. */
 #define ROUTING_BYTES_MAX (4 * 1024 * 1024)
 
+/** Names the rules; costs as much as encoding all of them. */
+uint64_t routing_digest(const struct routing *routing);
 /**
- * Encodes what changes from @base to @routing; all of it if @base is NULL. The
- * caller frees the result.
+ * Encodes what changes from @base to @routing, whose digest is @digest; all of
+ * it if @base is NULL. The caller frees the result.
  */
-GByteArray *routing_encode(const struct routing *routing,
+GByteArray *routing_encode(const struct routing *routing, uint64_t digest,
 			   const struct routing *base);
 /**
  * Returns the routes that the bytes make of @base, the ones in force here; NULL
--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -82,9 +82,10 @@
 
 /** Starts a listing of what was published at @revision. */
 struct host_listing *host_listing_create(uint64_t revision);
+uint64_t host_listing_revision(const struct host_listing *listing);
 /** Accepts NULL; nothing is removed. */
 void host_listing_destroy(struct host_listing *listing);
-/** Like host_table_put(), for a host of the listing. */
+/** Like host_table_put(), for a host of @listing if that is not NULL. */
 void host_listing_put(struct host_listing *listing, struct host_table *table,
 		      const struct host_announcement *announcement,
 		      int64_t now_ns);
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -127,6 +127,7 @@
 	struct error error = { 0 };
 	struct settings *settings =
 		settings_load(balancer->settings_path, &error);
+	const struct settings *seen = balancer->seen_settings;
 	char *changed;
 
 	if (!settings) {
@@ -134,7 +135,7 @@
 			  "cause=%s reason=\"%s\"", cause, error.detail);
 		return;
 	}
-	changed = settings_diff(balancer->seen_settings, settings);
+	changed = settings_diff(seen ? seen : balancer->settings, settings);
 	if (*changed != '\0') {
 		log_event(LOG_LEVEL_INFO, "settings_reloaded",
 			  "cause=%s changed=%s", cause, changed);
@@ -246,15 +247,11 @@
 {
 	struct balancer *balancer;
 	struct settings *settings = settings_load(path, error);
-	struct settings *seen = settings ? settings_load(path, error) : NULL;
 
-	if (!seen) {
-		settings_destroy(settings);
+	if (!settings)
 		return NULL;
-	}
 	balancer = g_new0(struct balancer, 1);
 	balancer->settings = settings;
-	balancer->seen_settings = seen;
 	balancer->settings_path = g_strdup(path);
 	balancer->clock = clock;
 	log_open(settings->log_level, settings->instance_id);
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -24,13 +24,6 @@
 	[TOTAL_STRANGERS] = "strangers",
 };
 
-static int64_t age_ms(const struct balancer *balancer, int64_t since_ns)
-{
-	if (since_ns == 0)
-		return -1;
-	return (clock_now_ns(balancer->clock) - since_ns) / NS_PER_MS;
-}
-
 static void values_take(struct balancer *balancer)
 {
 	const struct routing *routing = steering_routing(balancer->steering);
@@ -45,8 +38,8 @@
 	gauges[GAUGE_READING] = sharing_is_reading(balancer->sharing);
 	gauges[GAUGE_ROUTES_VERSION] = routing ? routing->version : 0;
 	gauges[GAUGE_REVISION] = knowledge->revision;
-	gauges[GAUGE_KNOWLEDGE_AGE_MS] =
-		(uint64_t)MAX(age_ms(balancer, knowledge->confirmed_ns), 0);
+	gauges[GAUGE_KNOWLEDGE_AGE_MS] = (uint64_t)MAX(
+		balancer_age_ms(balancer, knowledge->confirmed_ns), 0);
 	totals[TOTAL_LOG_BYTES] = log_written_bytes();
 	totals[TOTAL_LOG_DROPPED_LINES] = log_dropped_lines();
 	totals[TOTAL_STORE_CALLS] = store_call_count(balancer->store);
@@ -81,8 +74,9 @@
 	json_member_boolean(builder, "is_silent",
 			    evidence_is_silent(&host->evidence));
 	json_member_integer(builder, "misses", host->evidence.misses);
-	json_member_integer(builder, "progress_age_ms",
-			    age_ms(balancer, host->evidence.progress_ns));
+	json_member_integer(
+		builder, "progress_age_ms",
+		balancer_age_ms(balancer, host->evidence.progress_ns));
 	json_builder_end_object(builder);
 }
 
@@ -134,9 +128,10 @@
 	json_member_boolean(builder, "is_complete", knowledge->is_complete);
 	json_member_integer(builder, "revision", (int64_t)knowledge->revision);
 	json_member_integer(builder, "age_ms",
-			    age_ms(balancer, knowledge->confirmed_ns));
-	json_member_integer(builder, "store_away_ms",
-			    age_ms(balancer, balancer->unreachable_since_ns));
+			    balancer_age_ms(balancer, knowledge->confirmed_ns));
+	json_member_integer(
+		builder, "store_away_ms",
+		balancer_age_ms(balancer, balancer->unreachable_since_ns));
 	json_member_integer(builder, "routes_version",
 			    routing ? (int64_t)routing->version : 0);
 	json_member_integer(builder, "routes",
@@ -192,8 +187,9 @@
 	json_member_boolean(builder, "is_known", flow != NULL);
 	if (flow) {
 		json_member_integer(builder, "repeats", flow->repeats);
-		json_member_integer(builder, "packet_age_ms",
-				    age_ms(balancer, flow->last_packet_ns));
+		json_member_integer(
+			builder, "packet_age_ms",
+			balancer_age_ms(balancer, flow->last_packet_ns));
 	}
 	if (flow && flow->host) {
 		json_builder_set_member_name(builder, "host");
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -58,13 +58,6 @@
 	return text;
 }
 
-static int64_t age_ms(const struct balancer *balancer, int64_t since_ns)
-{
-	return since_ns == 0
-		       ? -1
-		       : (clock_now_ns(balancer->clock) - since_ns) / NS_PER_MS;
-}
-
 static uint64_t routing_version(const struct balancer *balancer)
 {
 	const struct routing *routing = steering_routing(balancer->steering);
@@ -102,8 +95,9 @@
 	if (event == EVENT_FLOW_PLACED)
 		histogram_record(
 			&balancer->host_age_ms,
-			(uint64_t)MAX(age_ms(balancer,
-					     balancer->knowledge.confirmed_ns),
+			(uint64_t)MAX(balancer_age_ms(
+					      balancer,
+					      balancer->knowledge.confirmed_ns),
 				      0));
 	if (!line_is_allowed(balancer, event))
 		return;
@@ -120,7 +114,7 @@
 		  host ? host->open_flows : 0,
 		  host ? host->published.revision : 0,
 		  routing_version(balancer), balancer->knowledge.revision,
-		  age_ms(balancer, balancer->knowledge.confirmed_ns));
+		  balancer_age_ms(balancer, balancer->knowledge.confirmed_ns));
 }
 
 void flow_log_reset(struct balancer *balancer, const struct cached_flow *flow,
@@ -138,10 +132,10 @@
 		  flow_print(&flow->key, text), host->token,
 		  steering_reason_names[reason], host->published.id,
 		  host->evidence.misses,
-		  age_ms(balancer, host->evidence.progress_ns),
-		  age_ms(balancer, flow->last_packet_ns),
+		  balancer_age_ms(balancer, host->evidence.progress_ns),
+		  balancer_age_ms(balancer, flow->last_packet_ns),
 		  balancer->knowledge.revision,
-		  age_ms(balancer, balancer->knowledge.confirmed_ns));
+		  balancer_age_ms(balancer, balancer->knowledge.confirmed_ns));
 }
 
 void line_bounds_summarize(struct balancer *balancer)
@@ -217,7 +211,7 @@
 		  " isolated=%d",
 		  host->published.id, host->published.zone, host->open_flows,
 		  host->evidence.misses,
-		  age_ms(balancer, host->evidence.progress_ns),
+		  balancer_age_ms(balancer, host->evidence.progress_ns),
 		  steering_is_isolated(balancer->steering));
 }
 
@@ -231,5 +225,5 @@
 		  " answer_age_ms=%" PRId64,
 		  host->published.id, host->published.zone, host->open_flows,
 		  host->evidence.response_ns / NS_PER_MS,
-		  age_ms(balancer, host->evidence.answered_ns));
+		  balancer_age_ms(balancer, host->evidence.answered_ns));
 }
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -67,7 +67,8 @@
 struct balancer {
 	char *settings_path;
 	struct settings *settings; /* in force */
-	struct settings *seen_settings; /* of the file when it last changed */
+	/* Of the file when it last changed; NULL if it is as at the start. */
+	struct settings *seen_settings;
 	const struct clock *clock;
 	GMainLoop *loop;
 	uint64_t random_seed;
@@ -101,6 +102,15 @@
 	uint32_t ticks;
 };
 
+/** Time since @since_ns in milliseconds, -1 for never. */
+static inline int64_t balancer_age_ms(const struct balancer *balancer,
+				      int64_t since_ns)
+{
+	if (since_ns == 0)
+		return -1;
+	return (clock_now_ns(balancer->clock) - since_ns) / NS_PER_MS;
+}
+
 /** Starts with full buckets. */
 void line_bounds_init(struct balancer *balancer);
 /** Logs a decision about a packet of a caller. */
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -37,28 +37,30 @@
  * The platform does not tell when routes were published; it was after the
  * routes before them were last confirmed to be current. -1 for the first ones.
  */
-static int64_t routes_delay_ms(struct balancer *balancer)
+static int64_t routes_delay_note(struct balancer *balancer)
 {
-	int64_t confirmed_ns = balancer->knowledge.confirmed_ns;
-	int64_t delay_ms;
+	int64_t delay_ms =
+		balancer_age_ms(balancer, balancer->knowledge.confirmed_ns);
 
-	if (confirmed_ns == 0)
-		return -1;
-	delay_ms = (clock_now_ns(balancer->clock) - confirmed_ns) / NS_PER_MS;
-	histogram_record(&balancer->routes_delay_ms, (uint64_t)delay_ms);
+	if (delay_ms >= 0)
+		histogram_record(&balancer->routes_delay_ms,
+				 (uint64_t)delay_ms);
 	return delay_ms;
 }
 
 void balancer_routing_apply(struct balancer *balancer, struct routing *routing)
 {
+	int64_t delay_ms;
+
 	if (!steering_set_routing(balancer->steering, routing))
 		return;
+	delay_ms = routes_delay_note(balancer);
 	log_event(LOG_LEVEL_INFO, "routes_applied",
 		  "version=%" PRIu64 " routes=%zu idle_timeout_ms=%u "
 		  "revision=%" PRIu64 " source=%s delay_ms=%" PRId64,
 		  routing->version, routing->rule_count,
 		  routing->idle_timeout_ms, balancer->knowledge.revision,
-		  balancer->knowledge.source, routes_delay_ms(balancer));
+		  balancer->knowledge.source, delay_ms);
 }
 
 static void store_item_apply(void *context, const struct store_item *item)
@@ -70,11 +72,7 @@
 	balancer->knowledge.source = "store";
 	switch (item->kind) {
 	case STORE_ITEM_HOST:
-		if (balancer->listing)
-			host_listing_put(balancer->listing, hosts, &item->host,
-					 now_ns);
-		else
-			host_table_put(hosts, &item->host, now_ns);
+		host_listing_put(balancer->listing, hosts, &item->host, now_ns);
 		break;
 	case STORE_ITEM_HOST_REMOVED:
 		host_table_remove(hosts, item->host.id, item->revision, now_ns);
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -115,9 +115,7 @@
 		if (news->is_gone)
 			host_table_remove(table, news->host.id,
 					  news->host.revision, now_ns);
-		else if (listing)
-			host_listing_put(listing, table, &news->host, now_ns);
 		else
-			host_table_put(table, &news->host, now_ns);
+			host_listing_put(listing, table, &news->host, now_ns);
 	}
 }
--- a/sharing/routing_codec.c
+++ b/sharing/routing_codec.c
@@ -71,19 +71,19 @@
 	}
 }
 
-/* Names the rules; fields of msgpack are bounded to 63 bits. */
-static uint64_t rules_digest(const struct routing *routing)
+uint64_t routing_digest(const struct routing *routing)
 {
 	GByteArray *bytes = g_byte_array_new();
 	uint64_t digest;
 
 	changes_encode(routing, NULL, bytes);
+	/* Fields of msgpack are bounded to 63 bits. */
 	digest = XXH3_64bits(bytes->data, bytes->len) >> 1;
 	g_byte_array_unref(bytes);
 	return digest;
 }
 
-GByteArray *routing_encode(const struct routing *routing,
+GByteArray *routing_encode(const struct routing *routing, uint64_t digest,
 			   const struct routing *base)
 {
 	GByteArray *bytes = g_byte_array_new();
@@ -94,7 +94,7 @@
 	field_write_uint(&writer, routing->version);
 	field_write_uint(&writer, routing->idle_timeout_ms);
 	field_write_uint(&writer, base ? base->version : 0);
-	field_write_uint(&writer, rules_digest(routing));
+	field_write_uint(&writer, digest);
 	record_put(bytes, head);
 	changes_encode(routing, base, bytes);
 	return bytes;
@@ -245,7 +245,7 @@
 	routing = routing_create(
 		head.version, head.idle_timeout_ms,
 		(struct route_rule *)g_array_free(rules, FALSE), count);
-	if (rules_digest(routing) == head.digest)
+	if (routing_digest(routing) == head.digest)
 		return routing;
 	routing_unref(routing);
 	return NULL;
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -215,17 +215,15 @@
 void sharing_tick(struct sharing *sharing)
 {
 	int64_t now_ns = clock_now_ns(sharing->options.clock);
+	bool is_stale = sharing->leader != 0 &&
+			leader_is_stale(sharing, now_ns);
 
 	members_expire(sharing->members, now_ns);
 	members_greet(sharing, now_ns);
-	if (sharing->leader != 0 && leader_is_stale(sharing, now_ns)) {
+	if (is_stale)
 		members_avoid(sharing->members, sharing->leader, now_ns);
-		follow_set_leader(sharing, leader_find(sharing, now_ns),
-				  "leader_is_stale");
-	} else {
-		follow_set_leader(sharing, leader_find(sharing, now_ns),
-				  "rank");
-	}
+	follow_set_leader(sharing, leader_find(sharing, now_ns),
+			  is_stale ? "leader_is_stale" : "rank");
 	follow_tick(sharing, now_ns);
 	serve_tick(sharing, now_ns);
 	reading_update(sharing, now_ns);
@@ -324,8 +322,7 @@
 			    g_hash_table_size(sharing->followers));
 	json_member_string(builder, "leader",
 			   sharing_address_print(sharing->leader, leader));
-	json_builder_set_member_name(builder, "is_reading");
-	json_builder_add_boolean_value(builder, sharing->is_reading);
+	json_member_boolean(builder, "is_reading", sharing->is_reading);
 	for (int i = 0; i < SHARING_COUNTERS; i++)
 		json_member_integer(builder, sharing_counter_names[i],
 				    (int64_t)sharing->counters[i]);
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -17,7 +17,7 @@
 				   : 0,
 	};
 
-	if (sharing->is_listing && address == sharing->listing_source) {
+	if (address == sharing->listing_source) {
 		poll.is_listing = true;
 		g_strlcpy(poll.cursor, sharing->cursor, sizeof(poll.cursor));
 		sharing->page_asked_ns = clock_now_ns(sharing->options.clock);
@@ -76,7 +76,7 @@
 		return;
 	if (!sharing->options.knowledge->is_complete) {
 		/* The first answer says that others know; ticks draw again. */
-		if (!sharing->is_listing && sharing->helper == 0)
+		if (sharing->listing_source == 0 && sharing->helper == 0)
 			listing_draw(sharing, now_ns);
 		return;
 	}
@@ -93,7 +93,7 @@
 
 static void listing_drop(struct sharing *sharing)
 {
-	sharing->is_listing = false;
+	sharing->listing_source = 0;
 	sharing->cursor[0] = '\0';
 	g_clear_pointer(&sharing->listing, host_listing_destroy);
 }
@@ -118,7 +118,6 @@
 			  int64_t now_ns)
 {
 	listing_drop(sharing);
-	sharing->is_listing = true;
 	sharing->listing_source = source;
 	sharing->page_ns = now_ns;
 	sharing->counters[SHARING_LISTINGS]++;
@@ -131,7 +130,8 @@
 		listing_drop(sharing);
 		return;
 	}
-	if (sharing->is_listing && now_ns - sharing->page_ns < PAGE_LOST_NS) {
+	if (sharing->listing_source != 0 &&
+	    now_ns - sharing->page_ns < PAGE_LOST_NS) {
 		if (now_ns - sharing->page_asked_ns >= PAGE_REPEAT_NS)
 			poll_send_to(sharing, sharing->listing_source);
 		return;
@@ -245,15 +245,13 @@
 	struct knowledge *knowledge = sharing->options.knowledge;
 
 	/* A late answer to an earlier poll is another page. */
-	if (!sharing->is_listing || address != sharing->listing_source ||
+	if (address != sharing->listing_source ||
 	    news->base != listing_page_id(sharing->cursor))
 		return false;
 	sharing->page_ns = now_ns;
 	sharing->helper_until_ns = now_ns + HELPER_NS;
-	if (!sharing->listing) {
-		sharing->listing_revision = news->revision;
+	if (!sharing->listing)
 		sharing->listing = host_listing_create(news->revision);
-	}
 	replica_apply(table, sharing->listing, news, now_ns);
 	if (news->has_more) {
 		g_strlcpy(sharing->cursor, news->cursor,
@@ -261,8 +259,8 @@
 		return true;
 	}
 	host_listing_finish(sharing->listing, table, now_ns);
-	knowledge->revision =
-		MAX(knowledge->revision, sharing->listing_revision);
+	knowledge->revision = MAX(knowledge->revision,
+				  host_listing_revision(sharing->listing));
 	knowledge->is_complete = true;
 	listing_drop(sharing);
 	return true;
@@ -304,7 +302,7 @@
 	bool is_complete = sharing->options.knowledge->is_complete;
 	bool wants_more = false;
 
-	if (!is_complete && !sharing->is_listing &&
+	if (!is_complete && sharing->listing_source == 0 &&
 	    address == sharing->helper) {
 		listing_begin(sharing, address, now_ns);
 		return true;
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -47,7 +47,11 @@
 
 	if (bytes)
 		return bytes;
-	bytes = routing_encode(sharing->routes_kept[0], base);
+	if (g_hash_table_size(sharing->outgoing) == 0)
+		sharing->outgoing_digest =
+			routing_digest(sharing->routes_kept[0]);
+	bytes = routing_encode(sharing->routes_kept[0],
+			       sharing->outgoing_digest, base);
 	g_hash_table_insert(sharing->outgoing, key, bytes);
 	return bytes;
 }
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -64,11 +64,10 @@
 	uint32_t helper;
 	int64_t helper_until_ns;
 	int64_t next_helper_poll_ns;
-	bool is_listing;
-	uint32_t listing_source; /* that all pages of the listing come from */
+	/* All pages of the listing come from it; 0 if none is under way. */
+	uint32_t listing_source;
 	int64_t page_asked_ns;
 	int64_t page_ns; /* when the last page came, or the listing began */
-	uint64_t listing_revision;
 	struct host_listing *listing; /* NULL before its first page */
 	char cursor[HOST_ID_BYTES_MAX + 1];
 	struct zone_load reported[HOST_LOADS_MAX]; /* with the last poll */
@@ -85,6 +84,7 @@
 	struct routing *routes_kept[ROUTES_KEPT]; /* newest first */
 	/* The newest routes, encoded: version of the base to GByteArray. */
 	GHashTable *outgoing;
+	uint64_t outgoing_digest; /* of them, once there is one in @outgoing */
 
 	struct token_bucket finds; /* bounds the requests for hosts */
 	struct histogram answer_us;
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -31,7 +31,6 @@
 	uint64_t floor; /* history before is dropped */
 	enum store_fault fault;
 	uint32_t address; /* of the first balancer's endpoint */
-	uint32_t count;
 	bool *is_refused; /* by number of the balancer */
 };
 
@@ -238,7 +237,6 @@
 	store->random = g_rand_new_with_seed(seed);
 	store->revision = 1;
 	store->address = address;
-	store->count = count;
 	store->is_refused = g_new0(bool, count);
 	store->server = soup_server_new(NULL, NULL);
 	soup_server_add_handler(store->server, NULL, request_handle, store,
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -192,11 +192,17 @@
 	g_free(listing);
 }
 
+uint64_t host_listing_revision(const struct host_listing *listing)
+{
+	return listing->revision;
+}
+
 void host_listing_put(struct host_listing *listing, struct host_table *table,
 		      const struct host_announcement *announcement,
 		      int64_t now_ns)
 {
-	g_hash_table_add(listing->ids, g_strdup(announcement->id));
+	if (listing)
+		g_hash_table_add(listing->ids, g_strdup(announcement->id));
 	host_table_put(table, announcement, now_ns);
 }
 
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -43,7 +43,7 @@
 		.now_ns = now_ns,
 		.random = steering->random,
 	};
-	struct choice choice = { .reason = CHOICE_NONE };
+	struct choice choice;
 
 	if (!flow && is_limited(packet, policy, now_ns, decision))
 		return;
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -210,15 +210,9 @@
 		return;
 	if (!node->knowledge.is_complete)
 		listing = host_listing_create(network->store_revision);
-	for (guint i = 0; i < network->hosts->len; i++) {
-		const struct host_announcement *host =
-			g_ptr_array_index(network->hosts, i);
-
-		if (listing)
-			host_listing_put(listing, hosts, host, now_ns);
-		else
-			host_table_put(hosts, host, now_ns);
-	}
+	for (guint i = 0; i < network->hosts->len; i++)
+		host_listing_put(listing, hosts,
+				 g_ptr_array_index(network->hosts, i), now_ns);
 	for (guint i = 0; i < network->withdrawn->len; i++)
 		host_table_remove(hosts,
 				  g_ptr_array_index(network->withdrawn, i),
--- a/tests/sharing/test_codec.c
+++ b/tests/sharing/test_codec.c
@@ -129,7 +129,8 @@
 START_TEST(routes_survive) {
 	static const uint32_t counts[] = { 0, 1, 1640 };
 	struct routing *routing = routes_create(counts[_i]);
-	GByteArray *bytes = routing_encode(routing, NULL);
+	GByteArray *bytes =
+		routing_encode(routing, routing_digest(routing), NULL);
 	struct routing *read = routing_decode(bytes->data, bytes->len, NULL);
 
 	ck_assert_ptr_nonnull(read);
@@ -183,7 +184,8 @@
 	for (int i = 0; i < 2; i++) {
 		const struct routing *from = both[i];
 		const struct routing *to = both[1 - i];
-		GByteArray *bytes = routing_encode(to, from);
+		GByteArray *bytes =
+			routing_encode(to, routing_digest(to), from);
 		struct routing *read =
 			routing_decode(bytes->data, bytes->len, from);
 
@@ -215,7 +217,7 @@
 	GByteArray *bytes;
 
 	other->version = all->version;
-	bytes = routing_encode(edited, all);
+	bytes = routing_encode(edited, routing_digest(edited), all);
 	ck_assert_ptr_null(routing_decode(bytes->data, bytes->len, other));
 	g_byte_array_unref(bytes);
 	routing_unref(all);
