Place new flows on the less loaded of two drawn hosts

Ruled out: too few slots (20 % in use), slow hosts (p99 of long flows is that of the herd), ties (drawn at random already; a model without long flows shows no herd). Decaying old counts with their age was weighed in a model: it gains little over two draws, and leaves the first milliseconds after the news to the herd. Three or four draws are more even for long flows, but bring the herd back at half of the slots in use.

Change: two hosts are drawn by their slots, the one with fewer flows a slot is taken. Hosts are sorted by class into a pool a service, at most ten times a second and after a change; a drawn host is checked again. Choosing no longer walks all hosts of a service for each flow.

--- a/include/steering/choose.h
+++ b/include/steering/choose.h
@@ -2,19 +2,22 @@
 #define PARSLEYLADDER_STEERING_CHOOSE_H
 
 /**
- * Chooses the host of a new flow: the one with the fewest open flows a slot in
- * the own availability zone, and other zones in proportion to what the own
- * zone has lost (failover with an overprovisioning factor).
+ * Chooses the host of a new flow: of two hosts of the own availability zone,
+ * drawn at random by their slots, the one with fewer open flows a slot. Counts
+ * of other balancers are up to half a second old, and all balancers that chose
+ * the least loaded host would choose the same one until the next news (herd
+ * behaviour; Mitzenmacher, "How useful is old information?", 1997). Other zones
+ * get flows in proportion to what the own zone has lost (failover with an
+ * overprovisioning factor).
  */
 
 #include <glib.h>
-#include <stdbool.h>
 #include <stdint.h>
 
-#include "steering/host_table.h"
+#include "steering/placement_pool.h"
 
 enum choice_reason {
-	CHOICE_LOCAL, /* least loaded host of the own zone */
+	CHOICE_LOCAL, /* less loaded of two hosts of the own zone */
 	CHOICE_FAILOVER, /* the own zone has lost much of its capacity */
 	CHOICE_REMOTE, /* the own zone has no usable host */
 	CHOICE_TRIAL, /* a silent host is tried again */
@@ -25,12 +28,11 @@
 };
 
 struct choice_request {
-	const GPtrArray *hosts; /* of the service, struct known_host */
-	const char *zone; /* of this balancer */
-	bool is_any_zone; /* hosts of all zones count as local */
-	const struct known_host *avoided; /* has not answered; or NULL */
+	const struct placement_pool *pool; /* of the service, refreshed */
+	const char *zone; /* of this balancer; NULL if all zones are local */
+	struct known_host *avoided; /* has not answered; or NULL */
 	int64_t now_ns;
-	GRand *random; /* breaks ties */
+	GRand *random;
 };
 
 struct choice {
--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -110,6 +110,8 @@
  * that ended earlier may have been forgotten.
  */
 uint64_t host_table_floor(const struct host_table *table);
+/** Changes when a host is added, changed, ended or forgotten. */
+uint64_t host_table_generation(const struct host_table *table);
 /** No change after this revision is known. */
 uint64_t host_table_newest(const struct host_table *table);
 /**
--- /dev/null
+++ b/include/steering/placement_pool.h
@@ -0,0 +1,54 @@
+#ifndef PARSLEYLADDER_STEERING_PLACEMENT_POOL_H
+#define PARSLEYLADDER_STEERING_PLACEMENT_POOL_H
+
+/**
+ * Hosts of one service, sorted by how well they suit a new flow, so that a
+ * placement need not look at each host. The sorting may be a tenth of a second
+ * old; whoever takes a host from the pool checks its class again.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "steering/host_table.h"
+
+enum pool_class {
+	POOL_LOCAL, /* usable, of the own zone */
+	POOL_REMOTE, /* usable, of another zone */
+	POOL_DOUBTED, /* slow, or with unanswered packets */
+	POOL_SILENT, /* has stopped answering */
+	POOL_UNUSABLE, /* gone, draining or with a shared token */
+	POOL_CLASSES,
+};
+
+/** Hosts of one class. */
+struct pool_hosts {
+	GPtrArray *hosts; /* struct known_host */
+	GArray *weight_sums; /* double: weights of the hosts up to this one */
+};
+
+struct placement_pool {
+	struct pool_hosts classes[POOL_UNUSABLE];
+	double usable_slots; /* of the own zone */
+	double nominal_slots; /* of the own zone, with hosts lately lost */
+	uint64_t generation; /* of the hosts, when they were sorted */
+	int64_t sorted_ns; /* 0 for never */
+};
+
+struct placement_pool *placement_pool_create(void);
+/** Accepts NULL. */
+void placement_pool_destroy(struct placement_pool *pool);
+/**
+ * Sorts @hosts, all of the service, if @generation has changed since the last
+ * time, or if that was too long ago. Hosts of all zones count as local if
+ * @zone is NULL.
+ */
+void placement_pool_refresh(struct placement_pool *pool, const GPtrArray *hosts,
+			    const char *zone, uint64_t generation,
+			    int64_t now_ns);
+enum pool_class pool_classify(const struct known_host *host, const char *zone);
+/** Requests that the host runs at once, less in its slow start. */
+double pool_host_weight(const struct known_host *host, int64_t now_ns);
+
+#endif
--- a/steering/choose.c
+++ b/steering/choose.c
@@ -1,20 +1,17 @@
 #include "steering/choose.h"
 
-#include <math.h>
 #include <stdbool.h>
-#include <string.h>
 
-#include "common/clock.h"
-
-/* A host in its slow start takes about 1.6 times as long for a request. */
-#define SLOW_START_WEIGHT 0.6
 /*
  * A zone takes all its flows while it has 1 / 1.4 of its capacity, and hands
  * over the share that it lacks below that.
  */
 #define OVERPROVISIONING 1.4
-/* How long the slots of an ended host count as lost capacity of its zone. */
-#define LOST_CAPACITY_NS (10 * NS_PER_S)
+/*
+ * Draws until all hosts are looked at instead. Most hosts of a class are still
+ * of it a tenth of a second later.
+ */
+#define DRAWS_MAX 8
 
 static const char *const reason_names[CHOICE_REASONS] = {
 	[CHOICE_LOCAL] = "local",     [CHOICE_FAILOVER] = "failover",
@@ -23,129 +20,172 @@
 	[CHOICE_NONE] = "no_host",
 };
 
-/** Least loaded host of one class; equal ones are drawn at random. */
-struct candidate {
-	struct known_host *host;
-	double load;
-	uint32_t equal_count;
-};
-
-struct search {
-	const struct choice_request *request;
-	struct candidate local;
-	struct candidate remote;
-	struct candidate doubted;
-	struct candidate silent;
-	struct known_host *trial;
-	double usable_slots; /* of the own zone */
-	double nominal_slots;
-};
-
 const char *choice_reason_name(enum choice_reason reason)
 {
 	return reason_names[reason];
 }
 
-static double host_weight(const struct known_host *host, int64_t now_ns)
+static double host_load(const struct choice_request *request,
+			const struct known_host *host)
 {
-	double slots = MAX(host->published.slots, 1);
+	return (host->open_flows + host->peer_flows + 1) /
+	       pool_host_weight(host, request->now_ns);
+}
 
-	return now_ns < host->warm_ns ? slots * SLOW_START_WEIGHT : slots;
+static bool is_of_class(const struct choice_request *request,
+			const struct known_host *host, enum pool_class class)
+{
+	return host != request->avoided &&
+	       pool_classify(host, request->zone) == class;
 }
 
-static void candidate_offer(struct candidate *candidate,
-			    const struct choice_request *request,
-			    struct known_host *host)
+/* Index of the host whose share of the weights holds @point. */
+static guint weight_find(const GArray *sums, double point)
 {
-	double load = (host->open_flows + host->peer_flows + 1) /
-		      host_weight(host, request->now_ns);
+	guint low = 0;
+	guint high = sums->len - 1;
 
-	if (candidate->host && load > candidate->load)
-		return;
-	if (!candidate->host || load < candidate->load)
-		candidate->equal_count = 0;
-	candidate->equal_count++;
-	if (candidate->equal_count > 1 &&
-	    g_rand_int_range(request->random, 0,
-			     (gint32)candidate->equal_count) != 0)
-		return;
-	candidate->host = host;
-	candidate->load = load;
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+
+		if (g_array_index(sums, double, middle) > point)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return low;
 }
 
-static bool is_accepting(const struct known_host *host)
+/* Draws a host by its weight; NULL if it has left the class or is @other. */
+static struct known_host *host_draw(const struct choice_request *request,
+				    enum pool_class class,
+				    const struct known_host *other)
 {
-	return !host->is_gone && !host->is_token_shared &&
-	       !host->published.is_draining;
+	const struct pool_hosts *drawn = &request->pool->classes[class];
+	const GArray *sums = drawn->weight_sums;
+	double total = g_array_index(sums, double, sums->len - 1);
+	guint index = weight_find(sums, g_rand_double(request->random) * total);
+	struct known_host *host = g_ptr_array_index(drawn->hosts, index);
+
+	return host != other && is_of_class(request, host, class) ? host : NULL;
 }
 
-static void host_consider(struct search *search, struct known_host *host)
+static struct known_host *
+host_draw_repeatedly(const struct choice_request *request,
+		     enum pool_class class, const struct known_host *other)
 {
-	const struct choice_request *request = search->request;
-	bool is_local = request->is_any_zone ||
-			strcmp(host->published.zone, request->zone) == 0;
-	bool is_lost = host->is_gone &&
-		       request->now_ns - host->gone_since_ns > LOST_CAPACITY_NS;
-
-	if (is_local && !is_lost)
-		search->nominal_slots += host->published.slots;
-	if (!is_accepting(host))
-		return;
-	if (evidence_is_silent(&host->evidence)) {
-		if (evidence_is_trial_due(&host->evidence, request->now_ns) &&
-		    host != request->avoided)
-			search->trial = host;
-		candidate_offer(&search->silent, request, host);
-		return;
+	struct known_host *host = NULL;
+
+	for (int i = 0; i < DRAWS_MAX && !host; i++)
+		host = host_draw(request, class, other);
+	return host;
+}
+
+/* Least loaded host of a class that has few left. */
+static struct known_host *host_scan(const struct choice_request *request,
+				    enum pool_class class)
+{
+	const GPtrArray *hosts = request->pool->classes[class].hosts;
+	struct known_host *best = NULL;
+
+	for (guint i = 0; i < hosts->len; i++) {
+		struct known_host *host = g_ptr_array_index(hosts, i);
+
+		if (!is_of_class(request, host, class))
+			continue;
+		if (!best ||
+		    host_load(request, host) < host_load(request, best))
+			best = host;
 	}
-	if (evidence_is_doubted(&host->evidence) || host->evidence.is_slow ||
-	    host == request->avoided) {
-		candidate_offer(&search->doubted, request, host);
-		return;
+	return best;
+}
+
+static struct known_host *host_pick(const struct choice_request *request,
+				    enum pool_class class)
+{
+	struct known_host *first;
+	struct known_host *second;
+
+	if (request->pool->classes[class].hosts->len == 0)
+		return NULL;
+	first = host_draw_repeatedly(request, class, NULL);
+	if (!first)
+		return host_scan(request, class);
+	second = host_draw_repeatedly(request, class, first);
+	if (second && host_load(request, second) < host_load(request, first))
+		return second;
+	return first;
+}
+
+/* A copy of an opening packet is no packet to try a host with. */
+static struct known_host *trial_find(const struct choice_request *request)
+{
+	const GPtrArray *silent = request->pool->classes[POOL_SILENT].hosts;
+
+	if (request->avoided)
+		return NULL;
+	for (guint i = 0; i < silent->len; i++) {
+		struct known_host *host = g_ptr_array_index(silent, i);
+
+		if (pool_classify(host, request->zone) == POOL_SILENT &&
+		    evidence_is_trial_due(&host->evidence, request->now_ns))
+			return host;
 	}
-	candidate_offer(is_local ? &search->local : &search->remote, request,
-			host);
-	if (is_local)
-		search->usable_slots += host->published.slots;
+	return NULL;
 }
 
-static bool is_failover_drawn(const struct search *search)
+static bool is_failover_drawn(const struct choice_request *request)
 {
-	double served = search->usable_slots * OVERPROVISIONING;
+	const struct placement_pool *pool = request->pool;
+	double served = pool->usable_slots * OVERPROVISIONING;
 
-	if (!search->remote.host || served >= search->nominal_slots)
+	if (pool->classes[POOL_REMOTE].hosts->len == 0 ||
+	    served >= pool->nominal_slots)
 		return false;
-	return g_rand_double(search->request->random) * search->nominal_slots >=
-	       served;
+	return g_rand_double(request->random) * pool->nominal_slots >= served;
 }
 
-static void choice_set(struct choice *choice, struct known_host *host,
+static bool choice_set(struct choice *choice, struct known_host *host,
 		       enum choice_reason reason)
 {
 	choice->host = host;
-	choice->reason = reason;
+	choice->reason = host ? reason : CHOICE_NONE;
+	return host != NULL;
+}
+
+/* The host that has not answered may be the only one that is left. */
+static struct known_host *avoided_take(const struct choice_request *request)
+{
+	struct known_host *avoided = request->avoided;
+
+	if (!avoided || pool_classify(avoided, request->zone) == POOL_UNUSABLE)
+		return NULL;
+	return avoided;
 }
 
 void placement_choose(const struct choice_request *request,
 		      struct choice *choice)
 {
-	struct search search = { .request = request };
-
-	choice_set(choice, NULL, CHOICE_NONE);
-	for (guint i = 0; request->hosts && i < request->hosts->len; i++)
-		host_consider(&search, g_ptr_array_index(request->hosts, i));
-	/* A copy of an opening packet is no packet to try a host with. */
-	if (search.trial && !request->avoided) {
-		evidence_try(&search.trial->evidence, request->now_ns);
-		choice_set(choice, search.trial, CHOICE_TRIAL);
-	} else if (search.local.host && !is_failover_drawn(&search)) {
-		choice_set(choice, search.local.host, CHOICE_LOCAL);
-	} else if (search.remote.host) {
-		choice_set(choice, search.remote.host,
-			   search.local.host ? CHOICE_FAILOVER : CHOICE_REMOTE);
-	} else if (search.doubted.host) {
-		choice_set(choice, search.doubted.host, CHOICE_DOUBTED);
-	} else if (search.silent.host) {
-		choice_set(choice, search.silent.host, CHOICE_LAST_RESORT);
+	struct known_host *trial = trial_find(request);
+	bool is_failover;
+
+	if (choice_set(choice, trial, CHOICE_TRIAL)) {
+		evidence_try(&trial->evidence, request->now_ns);
+		return;
 	}
+	is_failover = is_failover_drawn(request);
+	if (is_failover && choice_set(choice, host_pick(request, POOL_REMOTE),
+				      CHOICE_FAILOVER))
+		return;
+	if (choice_set(choice, host_pick(request, POOL_LOCAL), CHOICE_LOCAL))
+		return;
+	if (choice_set(choice, host_pick(request, POOL_REMOTE), CHOICE_REMOTE))
+		return;
+	if (choice_set(choice, host_pick(request, POOL_DOUBTED),
+		       CHOICE_DOUBTED))
+		return;
+	if (choice_set(choice, host_pick(request, POOL_SILENT),
+		       CHOICE_LAST_RESORT))
+		return;
+	choice_set(choice, avoided_take(request), CHOICE_LAST_RESORT);
 }
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -18,6 +18,7 @@
 	GTree *sorted; /* by id */
 	uint64_t floor; /* see host_table_floor() */
 	uint64_t newest; /* see host_table_newest() */
+	uint64_t generation; /* see host_table_generation() */
 	uint32_t present_count;
 };
 
@@ -149,8 +150,10 @@
 	if (is_new)
 		table->present_count++;
 	host->is_gone = false;
-	if (is_new || is_changed)
-		table->options.on_changed(table->options.context, host, is_new);
+	if (!is_new && !is_changed)
+		return;
+	table->generation++;
+	table->options.on_changed(table->options.context, host, is_new);
 }
 
 static void host_end(struct host_table *table, struct known_host *host,
@@ -161,6 +164,7 @@
 	table->newest = MAX(table->newest, revision);
 	host->gone_since_ns = now_ns;
 	table->present_count--;
+	table->generation++;
 	table->options.on_ended(table->options.context, host, false);
 }
 
@@ -248,6 +252,7 @@
 		g_ptr_array_remove_fast(host->siblings, host);
 		g_tree_remove(table->sorted, host->published.id);
 		table->floor = MAX(table->floor, host->gone_revision);
+		table->generation++;
 		g_hash_table_iter_remove(&iterator);
 	}
 }
@@ -274,6 +279,11 @@
 	return table->floor;
 }
 
+uint64_t host_table_generation(const struct host_table *table)
+{
+	return table->generation;
+}
+
 uint64_t host_table_newest(const struct host_table *table)
 {
 	return table->newest;
--- a/steering/host_watch.c
+++ b/steering/host_watch.c
@@ -49,13 +49,16 @@
 		    int64_t now_ns)
 {
 	steering->progress_ns = now_ns;
-	if (evidence_progress(&host->evidence, now_ns))
-		steering->options.on_host_silence(steering->options.context,
-						  host, false);
+	if (!evidence_progress(&host->evidence, now_ns))
+		return;
+	steering->silence_changes++;
+	steering->options.on_host_silence(steering->options.context, host,
+					  false);
 }
 
 static void host_silence(struct steering *steering, struct known_host *host)
 {
+	steering->silence_changes++;
 	steering->options.on_host_silence(steering->options.context, host,
 					  true);
 	/* An isolated balancer can tell nothing of its hosts. */
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -24,6 +24,49 @@
 	return true;
 }
 
+static struct placement_pool *pool_find(struct steering *steering,
+					const char *service, const char *zone,
+					int64_t now_ns)
+{
+	struct placement_pool *pool =
+		g_hash_table_lookup(steering->pools, service);
+	uint64_t generation = host_table_generation(steering->hosts) +
+			      steering->silence_changes;
+
+	if (!pool) {
+		pool = placement_pool_create();
+		g_hash_table_insert(steering->pools, g_strdup(service), pool);
+	}
+	placement_pool_refresh(pool,
+			       host_table_service(steering->hosts, service),
+			       zone, generation, now_ns);
+	return pool;
+}
+
+/* A service that was never published has no hosts, and needs no pool. */
+static void host_choose(struct steering *steering, const char *service,
+			const struct service_policy *policy,
+			struct known_host *avoided, int64_t now_ns,
+			struct choice *choice)
+{
+	const char *zone = policy_is_any_zone(policy) ? NULL
+						      : steering->options.zone;
+	struct choice_request request = {
+		.zone = zone,
+		.avoided = avoided,
+		.now_ns = now_ns,
+		.random = steering->random,
+	};
+
+	if (!service || !host_table_service(steering->hosts, service)) {
+		choice->host = NULL;
+		choice->reason = CHOICE_NONE;
+		return;
+	}
+	request.pool = pool_find(steering, service, zone, now_ns);
+	placement_choose(&request, choice);
+}
+
 static void flow_place(struct steering *steering,
 		       const struct token_packet *packet,
 		       const struct route_rule *rule, struct cached_flow *flow,
@@ -34,20 +77,11 @@
 	const char *service = route_rule_service(rule, flow_key_hash(key, 0));
 	struct service_policy *policy =
 		service ? policy_table_find(steering->policies, service) : NULL;
-	const struct choice_request request = {
-		.hosts = service ? host_table_service(steering->hosts, service)
-				 : NULL,
-		.zone = steering->options.zone,
-		.is_any_zone = policy_is_any_zone(policy),
-		.avoided = avoided,
-		.now_ns = now_ns,
-		.random = steering->random,
-	};
 	struct choice choice;
 
 	if (!flow && is_limited(packet, policy, now_ns, decision))
 		return;
-	placement_choose(&request, &choice);
+	host_choose(steering, service, policy, avoided, now_ns, &choice);
 	decision->choice = choice.reason;
 	if (!choice.host) {
 		steering_decide(decision, STEERING_RESET, STEERING_NO_HOST,
--- /dev/null
+++ b/steering/placement_pool.c
@@ -0,0 +1,109 @@
+#include "steering/placement_pool.h"
+
+#include <string.h>
+
+#include "common/clock.h"
+
+/* Bounds the cost of sorting; a host that is back may wait so long. */
+#define SORTING_AGE_MAX_NS (100 * NS_PER_MS)
+/* A host in its slow start takes about 1.6 times as long for a request. */
+#define SLOW_START_WEIGHT 0.6
+/* How long the slots of an ended host count as lost capacity of its zone. */
+#define LOST_CAPACITY_NS (10 * NS_PER_S)
+
+struct placement_pool *placement_pool_create(void)
+{
+	struct placement_pool *pool = g_new0(struct placement_pool, 1);
+
+	for (int i = 0; i < POOL_UNUSABLE; i++) {
+		pool->classes[i].hosts = g_ptr_array_new();
+		pool->classes[i].weight_sums =
+			g_array_new(FALSE, FALSE, sizeof(double));
+	}
+	return pool;
+}
+
+void placement_pool_destroy(struct placement_pool *pool)
+{
+	if (!pool)
+		return;
+	for (int i = 0; i < POOL_UNUSABLE; i++) {
+		g_ptr_array_unref(pool->classes[i].hosts);
+		g_array_unref(pool->classes[i].weight_sums);
+	}
+	g_free(pool);
+}
+
+double pool_host_weight(const struct known_host *host, int64_t now_ns)
+{
+	double slots = MAX(host->published.slots, 1);
+
+	return now_ns < host->warm_ns ? slots * SLOW_START_WEIGHT : slots;
+}
+
+static bool is_local(const struct known_host *host, const char *zone)
+{
+	return !zone || strcmp(host->published.zone, zone) == 0;
+}
+
+enum pool_class pool_classify(const struct known_host *host, const char *zone)
+{
+	if (host->is_gone || host->is_token_shared ||
+	    host->published.is_draining)
+		return POOL_UNUSABLE;
+	if (evidence_is_silent(&host->evidence))
+		return POOL_SILENT;
+	if (evidence_is_doubted(&host->evidence) || host->evidence.is_slow)
+		return POOL_DOUBTED;
+	return is_local(host, zone) ? POOL_LOCAL : POOL_REMOTE;
+}
+
+static void class_clear(struct pool_hosts *class)
+{
+	g_ptr_array_set_size(class->hosts, 0);
+	g_array_set_size(class->weight_sums, 0);
+}
+
+static void class_add(struct pool_hosts *class, struct known_host *host,
+		      int64_t now_ns)
+{
+	double sum = pool_host_weight(host, now_ns);
+
+	if (class->weight_sums->len > 0)
+		sum += g_array_index(class->weight_sums, double,
+				     class->weight_sums->len - 1);
+	g_ptr_array_add(class->hosts, host);
+	g_array_append_val(class->weight_sums, sum);
+}
+
+static void host_sort(struct placement_pool *pool, struct known_host *host,
+		      const char *zone, int64_t now_ns)
+{
+	enum pool_class class = pool_classify(host, zone);
+	bool is_lost = host->is_gone &&
+		       now_ns - host->gone_since_ns > LOST_CAPACITY_NS;
+
+	if (is_local(host, zone) && !is_lost)
+		pool->nominal_slots += host->published.slots;
+	if (class == POOL_LOCAL)
+		pool->usable_slots += host->published.slots;
+	if (class != POOL_UNUSABLE)
+		class_add(&pool->classes[class], host, now_ns);
+}
+
+void placement_pool_refresh(struct placement_pool *pool, const GPtrArray *hosts,
+			    const char *zone, uint64_t generation,
+			    int64_t now_ns)
+{
+	if (pool->sorted_ns != 0 && pool->generation == generation &&
+	    now_ns - pool->sorted_ns < SORTING_AGE_MAX_NS)
+		return;
+	pool->generation = generation;
+	pool->sorted_ns = now_ns;
+	pool->usable_slots = 0;
+	pool->nominal_slots = 0;
+	for (int i = 0; i < POOL_UNUSABLE; i++)
+		class_clear(&pool->classes[i]);
+	for (guint i = 0; hosts && i < hosts->len; i++)
+		host_sort(pool, g_ptr_array_index(hosts, i), zone, now_ns);
+}
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -60,6 +60,9 @@
 	steering->flows = flow_cache_create(options->flows_max);
 	token_bucket_init(&steering->probes, PROBES_PER_S, PROBES_PER_S,
 			  clock_now_ns(options->clock));
+	steering->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)placement_pool_destroy);
 	steering->random = g_rand_new_with_seed((guint32)options->random_seed);
 	return steering;
 }
@@ -69,6 +72,7 @@
 	if (!steering)
 		return;
 	flow_cache_destroy(steering->flows);
+	g_hash_table_destroy(steering->pools);
 	host_table_destroy(steering->hosts);
 	routing_unref(steering->routing);
 	policy_table_destroy(steering->policies);
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -20,6 +20,8 @@
 	struct flow_cache *flows;
 	struct routing *routing; /* NULL until the first one */
 	struct policy_table *policies; /* NULL for none */
+	GHashTable *pools; /* service to struct placement_pool */
+	uint64_t silence_changes; /* hosts that fell silent or are back */
 	GRand *random;
 	bool is_informed;
 	int64_t informed_since_ns;
