--- a/include/configuration/settings.h
+++ b/include/configuration/settings.h
@@ -59,6 +59,7 @@
 	uint32_t decision_lines_per_s; /* of the log, about single flows */
 	uint32_t flows_max;
 	uint32_t flow_age_max_s; /* key "flow_age_max_seconds" */
+	uint32_t member_wait_ms; /* at the start, before the store is read */
 	uint32_t stop_deadline_ms;
 	struct profile_settings *profiles;
 	size_t profile_count;
--- a/include/packet/packet.h
+++ b/include/packet/packet.h
@@ -56,6 +56,7 @@
 uint32_t ip_address_v4(const struct ip_address *address);
 void ip_address_from_v4(uint32_t number, struct ip_address *address);
 bool ip_address_equal(const struct ip_address *a, const struct ip_address *b);
+bool flow_key_equal(const struct flow_key *a, const struct flow_key *b);
 
 /** Hash of a flow, the same on each instance that uses the same @seed. */
 uint64_t flow_key_hash(const struct flow_key *key, uint64_t seed);
--- a/include/parsleyladder/forwarder.h
+++ b/include/parsleyladder/forwarder.h
@@ -36,6 +36,8 @@
 /** Tells the caller that its flow is no more. */
 void forwarder_reset(struct forwarder *forwarder, const struct flow_key *key,
 		     uint32_t sequence);
+/** Decides again about the packets that were held; returns their number. */
+uint32_t forwarder_release(struct forwarder *forwarder);
 /** Sends the resets that are queued. */
 void forwarder_flush(struct forwarder *forwarder);
 /** Packets received so far. */
--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -20,6 +20,10 @@
 	STORE_ITEM_FOREIGN, /* of no interest here, or not valid */
 };
 
+/** Keys of the hosts, and of what the operator publishes. */
+#define STORE_HOST_PREFIX "servers/"
+#define STORE_OPERATOR_PREFIX "op/"
+
 struct store_item {
 	enum store_item_kind kind;
 	char *key;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -25,6 +25,11 @@
 	/** A complete listing as of @revision starts. */
 	void (*on_listing_begin)(void *context, uint64_t revision);
 	void (*on_listing_end)(void *context);
+	/**
+	 * The first page of a listing came, and more are left if @has_more;
+	 * the callee may stop the client.
+	 */
+	void (*on_first_page)(void *context, bool has_more);
 	/** An item that was listed, or changed. */
 	void (*on_item)(void *context, const struct store_item *item);
 	/**
--- a/include/sharing/members.h
+++ b/include/sharing/members.h
@@ -20,11 +20,15 @@
 /** An entry that nobody has heard of for this long is dropped, in ms. */
 #define MEMBER_AGE_MAX_MS 10000
 
+/** A member is not known to have a listing, or its news are too old to tell. */
+#define MEMBER_NEWS_NONE UINT16_MAX
+
 struct member_entry {
 	uint32_t address; /* IPv4, host byte order */
 	uint32_t zone; /* hash of its name, see zone_hash() */
 	uint16_t capacity; /* share of a core, per mille */
 	uint32_t age_ms; /* since it was heard of */
+	uint32_t news_age_ms; /* of what it knows, MEMBER_NEWS_NONE */
 };
 
 struct shared_member {
@@ -35,6 +39,8 @@
 	int64_t heard_ns; /* when somebody last heard it */
 	int64_t avoided_until_ns; /* it did not answer */
 	uint32_t failures; /* in a row */
+	/* When what it knows was last known to be current; 0 for never. */
+	int64_t confirmed_ns;
 };
 
 struct members;
@@ -50,6 +56,17 @@
 void members_avoid(struct members *members, uint32_t address, int64_t now_ns);
 /** The member answered. */
 void members_trust(struct members *members, uint32_t address, int64_t now_ns);
+/** The member told how old its news are; UINT32_MAX if it has no listing. */
+void members_tell_age(struct members *members, uint32_t address,
+		      uint32_t news_age_ms, int64_t now_ns);
+/**
+ * Draws a member of the own zone whose news are at most @age_max_ns old; 0 if
+ * none is known.
+ */
+uint32_t members_draw_informed(struct members *members, GRand *random,
+			       int64_t age_max_ns, int64_t now_ns);
+/** The member of the own zone with the newest news; 0 if none has any. */
+uint32_t members_newest(struct members *members);
 /** Drops entries that are too old. */
 void members_expire(struct members *members, int64_t now_ns);
 /**
--- a/include/sharing/sharing.h
+++ b/include/sharing/sharing.h
@@ -36,6 +36,7 @@
 	SHARING_NEWS_REFUSED, /* of another leader, or with a gap */
 	SHARING_NEWS_PUSHED,
 	SHARING_LISTINGS, /* taken over from a peer */
+	SHARING_LISTINGS_REFUSED, /* too many were served at once */
 	SHARING_FINDS, /* of hosts by their tokens, sent */
 	SHARING_FOUNDS, /* answers to them */
 	SHARING_MALFORMED,
@@ -46,6 +47,8 @@
 
 extern const char *const sharing_counter_names[SHARING_COUNTERS];
 
+#define SHARING_START_TICK_MS 20
+
 struct sharing;
 
 struct sharing_options {
@@ -54,6 +57,8 @@
 	const char *zone;
 	uint16_t capacity; /* share of a core, per mille */
 	uint64_t random_seed;
+	/** How long a first answer of a member is waited for. */
+	uint32_t member_wait_ms;
 	struct steering *steering;
 	struct knowledge *knowledge; /* shared with the reader of the store */
 	void (*send)(void *context, uint32_t address, const uint8_t *data,
@@ -72,7 +77,10 @@
 /** Replaces the addresses at which members are looked for. */
 void sharing_set_seeds(struct sharing *sharing, const uint32_t *addresses,
 		       size_t count);
-/** To be called every STEERING_TICK_MS. */
+/**
+ * To be called every STEERING_TICK_MS, and every SHARING_START_TICK_MS until
+ * hosts and routes are known.
+ */
 void sharing_tick(struct sharing *sharing);
 /** A datagram of another balancer at @address. */
 void sharing_handle_datagram(struct sharing *sharing, uint32_t address,
@@ -82,6 +90,11 @@
  * the host table, as ended if it is. Bounded to some requests a second.
  */
 void sharing_find_token(struct sharing *sharing, uint32_t token);
+/**
+ * The first page of a listing of the store came. If it is not the last one, a
+ * balancer that starts may stop reading and wait for members that list.
+ */
+void sharing_hear_first_page(struct sharing *sharing, bool has_more);
 /** Tells the followers what changed. */
 void sharing_push(struct sharing *sharing);
 /** The process was paused: what is known is as old as the pause. */
@@ -89,6 +102,8 @@
 /** Text of a balancer's address, "none" for 0. */
 const char *sharing_address_print(uint32_t address,
 				  char text[IP_ADDRESS_TEXT_BYTES]);
+/** True once the hosts, and the routes if there are any, are known. */
+bool sharing_is_informed(const struct sharing *sharing);
 bool sharing_is_reading(const struct sharing *sharing);
 /** Time from a poll to its answer, in microseconds. */
 const struct histogram *sharing_answer_times(const struct sharing *sharing);
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -30,6 +30,7 @@
 	STEERING_FORWARD,
 	STEERING_RESET, /* tell the caller that the flow is no more */
 	STEERING_DROP,
+	STEERING_HOLD, /* decide again once the hosts and routes are known */
 	STEERING_VERDICTS,
 };
 
@@ -47,7 +48,7 @@
 	STEERING_HOST_SILENT, /* the host has stopped answering */
 	STEERING_HOST_GONE, /* the host is no longer published */
 	STEERING_TOKEN_UNKNOWN, /* no host has the token */
-	STEERING_NOT_READY, /* no routes are known yet */
+	STEERING_NOT_READY, /* no complete listing is known yet */
 	STEERING_NO_TOKEN, /* open flow that nothing is known of */
 	STEERING_REASONS,
 };
@@ -117,6 +118,11 @@
 /** Routes in force, or NULL. */
 struct routing *steering_routing(const struct steering *steering);
 struct host_table *steering_hosts(struct steering *steering);
+/**
+ * The hosts are known completely for the first time. Until then only packets
+ * are forwarded whose token names a known host.
+ */
+void steering_set_listed(struct steering *steering);
 /**
  * Tells whether what is published is known completely and is up to date; only
  * then is a token that no host has evidence of a host that ended.
--- a/packet/address.c
+++ b/packet/address.c
@@ -86,3 +86,12 @@
 
 	return XXH3_64bits_withSeed(&hashed, sizeof(hashed), seed);
 }
+
+bool flow_key_equal(const struct flow_key *a, const struct flow_key *b)
+{
+	return a->caller_port == b->caller_port &&
+	       a->service_port == b->service_port &&
+	       a->protocol == b->protocol &&
+	       ip_address_equal(&a->caller, &b->caller) &&
+	       ip_address_equal(&a->service, &b->service);
+}
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -59,31 +59,11 @@
 	return now_ns >= balancer->discard_until_ns;
 }
 
-static bool ready_now(const struct balancer *balancer)
-{
-	return !balancer->is_leaving && balancer->knowledge.is_complete &&
-	       steering_routing(balancer->steering) != NULL &&
-	       !steering_is_isolated(balancer->steering);
-}
-
-static void ready_update(struct balancer *balancer)
-{
-	bool is_ready = ready_now(balancer);
-
-	if (is_ready == balancer->is_ready)
-		return;
-	balancer->is_ready = is_ready;
-	log_event(LOG_LEVEL_INFO, "readiness_changed",
-		  "ready=%d complete=%d leaving=%d isolated=%d", is_ready,
-		  balancer->knowledge.is_complete, balancer->is_leaving,
-		  steering_is_isolated(balancer->steering));
-}
-
 static bool is_ready(void *context)
 {
 	struct balancer *balancer = context;
 
-	ready_update(balancer);
+	balancer_ready_update(balancer);
 	return balancer->is_ready;
 }
 
@@ -148,6 +128,25 @@
 	g_free(changed);
 }
 
+static void sharing_step(struct balancer *balancer)
+{
+	sharing_tick(balancer->sharing);
+	edge_flush(balancer->sharing_edge);
+	balancer_listing_check(balancer);
+}
+
+/* Callers wait for the first listing. */
+static gboolean start_tick(gpointer context)
+{
+	struct balancer *balancer = context;
+
+	sharing_step(balancer);
+	if (!sharing_is_informed(balancer->sharing))
+		return G_SOURCE_CONTINUE;
+	balancer->start_timer = 0;
+	return G_SOURCE_REMOVE;
+}
+
 static gboolean tick(gpointer context)
 {
 	struct balancer *balancer = context;
@@ -160,11 +159,10 @@
 		balancer->knowledge.is_complete &&
 			now_ns - balancer->knowledge.confirmed_ns < CURRENT_NS);
 	steering_tick(balancer->steering);
-	sharing_tick(balancer->sharing);
-	edge_flush(balancer->sharing_edge);
+	sharing_step(balancer);
 	forwarder_flush(balancer->forwarder);
 	packets_note(balancer);
-	ready_update(balancer);
+	balancer_ready_update(balancer);
 	if (balancer->ticks++ % TICKS_PER_S == 0)
 		line_bounds_summarize(balancer);
 	if (balancer->ticks % SETTINGS_CHECK_TICKS == 0)
@@ -316,10 +314,14 @@
 		  balancer->settings->zone, balancer->settings->packet_endpoint,
 		  balancer->settings->control_endpoint,
 		  balancer->settings->store_endpoint);
-	store_set_following(balancer->store, true);
+	sharing_step(balancer);
+	balancer->start_timer =
+		g_timeout_add(SHARING_START_TICK_MS, start_tick, balancer);
 	g_main_loop_run(balancer->loop);
 	for (size_t i = 0; i < G_N_ELEMENTS(sources); i++)
 		g_source_remove(sources[i]);
+	if (balancer->start_timer != 0)
+		g_source_remove(balancer->start_timer);
 	log_event(LOG_LEVEL_INFO, "balancer_stopped", "packets=%" PRIu64,
 		  forwarder_packets(balancer->forwarder));
 }
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -15,6 +15,7 @@
 	[EVENT_FLOW_REFUSED] = "flow_refused",
 	[EVENT_FLOW_RESET] = "flow_reset",
 	[EVENT_PACKET_DROPPED] = "packet_dropped",
+	[EVENT_PACKET_HELD] = "packet_held",
 	[EVENT_HOST_ADDED] = "host_added",
 	[EVENT_HOST_CHANGED] = "host_changed",
 	[EVENT_HOST_RESTARTED] = "host_restarted",
@@ -70,6 +71,8 @@
 {
 	if (decision->verdict == STEERING_DROP)
 		return EVENT_PACKET_DROPPED;
+	if (decision->verdict == STEERING_HOLD)
+		return EVENT_PACKET_HELD;
 	if (decision->verdict == STEERING_RESET)
 		return decision->is_opening ? EVENT_FLOW_REFUSED
 					    : EVENT_FLOW_RESET;
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -29,6 +29,7 @@
 	EVENT_FLOW_REFUSED, /* opening packet that gets a reset */
 	EVENT_FLOW_RESET, /* open flow */
 	EVENT_PACKET_DROPPED,
+	EVENT_PACKET_HELD, /* until the first listing is complete */
 	EVENT_HOST_ADDED,
 	EVENT_HOST_CHANGED,
 	EVENT_HOST_RESTARTED,
@@ -92,6 +93,7 @@
 	struct knowledge knowledge;
 	struct host_listing *listing; /* of the store; NULL if none comes */
 	int64_t unreachable_since_ns; /* 0 while the store answers */
+	bool is_listed; /* hosts and routes were known completely once */
 	bool is_ready;
 	bool is_leaving;
 	int64_t leaving_since_ns;
@@ -100,6 +102,7 @@
 	uint64_t last_packets;
 	int64_t last_packet_ns;
 	uint32_t ticks;
+	guint start_timer; /* 0 once hosts and routes are known */
 };
 
 /** Time since @since_ns in milliseconds, -1 for never. */
@@ -140,6 +143,13 @@
 void balancer_sharing_close(struct balancer *balancer);
 /** Takes over the seeds of the settings. */
 void balancer_seeds_set(struct balancer *balancer);
+/**
+ * Lets the packets go that were held, once hosts and routes are known for the
+ * first time.
+ */
+void balancer_listing_check(struct balancer *balancer);
+/** Whether the fabric may send packets here; logs a change. */
+void balancer_ready_update(struct balancer *balancer);
 /** Starts the client of the store, which does not follow it yet. */
 void balancer_store_open(struct balancer *balancer);
 void balancer_store_close(struct balancer *balancer);
--- /dev/null
+++ b/parsleyladder/balancer_ready.c
@@ -0,0 +1,44 @@
+#include <inttypes.h>
+
+#include "balancer_private.h"
+#include "common/log.h"
+
+static bool ready_now(const struct balancer *balancer)
+{
+	return !balancer->is_leaving && balancer->is_listed &&
+	       !steering_is_isolated(balancer->steering);
+}
+
+void balancer_ready_update(struct balancer *balancer)
+{
+	bool is_ready = ready_now(balancer);
+
+	if (is_ready == balancer->is_ready)
+		return;
+	balancer->is_ready = is_ready;
+	log_event(LOG_LEVEL_INFO, "readiness_changed",
+		  "ready=%d complete=%d leaving=%d isolated=%d", is_ready,
+		  balancer->is_listed, balancer->is_leaving,
+		  steering_is_isolated(balancer->steering));
+}
+
+void balancer_listing_check(struct balancer *balancer)
+{
+	uint32_t released;
+
+	if (balancer->is_listed || !balancer->knowledge.is_complete ||
+	    !steering_routing(balancer->steering))
+		return;
+	balancer->is_listed = true;
+	steering_set_listed(balancer->steering);
+	released = forwarder_release(balancer->forwarder);
+	log_event(LOG_LEVEL_INFO, "listing_complete",
+		  "hosts=%u version=%" PRIu64 " revision=%" PRIu64
+		  " source=%s age_ms=%" PRId64 " packets_released=%u",
+		  host_table_count(steering_hosts(balancer->steering)),
+		  steering_routing(balancer->steering)->version,
+		  balancer->knowledge.revision, balancer->knowledge.source,
+		  balancer_age_ms(balancer, balancer->knowledge.confirmed_ns),
+		  released);
+	balancer_ready_update(balancer);
+}
--- a/parsleyladder/balancer_sharing.c
+++ b/parsleyladder/balancer_sharing.c
@@ -52,6 +52,7 @@
 	}
 	sharing_handle_datagram(balancer->sharing, ip_address_v4(&address),
 				data, length);
+	balancer_listing_check(balancer);
 }
 
 static void routing_taken(void *context, struct routing *routing)
@@ -69,7 +70,7 @@
 	log_event(LOG_LEVEL_INFO, "reading_changed",
 		  "reading=%d reason=%s revision=%" PRIu64 " age_ms=%" PRId64,
 		  is_reading, reason, knowledge->revision, age_ns / NS_PER_MS);
-	if (is_reading && knowledge->is_complete)
+	if (is_reading && sharing_is_informed(balancer->sharing))
 		store_set_revision(balancer->store, knowledge->revision);
 	store_set_following(balancer->store, is_reading);
 	/* A listing that was cut short starts again from its first page. */
@@ -117,6 +118,7 @@
 		.zone = settings->zone,
 		.capacity = settings_capacity(settings),
 		.random_seed = balancer->random_seed,
+		.member_wait_ms = settings->member_wait_ms,
 		.steering = balancer->steering,
 		.knowledge = &balancer->knowledge,
 		.send = datagram_send,
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -17,6 +17,13 @@
 	balancer->listing = host_listing_create(revision);
 }
 
+static void first_page_hear(void *context, bool has_more)
+{
+	struct balancer *balancer = context;
+
+	sharing_hear_first_page(balancer->sharing, has_more);
+}
+
 static void listing_end(void *context)
 {
 	struct balancer *balancer = context;
@@ -25,11 +32,6 @@
 			    steering_hosts(balancer->steering),
 			    clock_now_ns(balancer->clock));
 	g_clear_pointer(&balancer->listing, host_listing_destroy);
-	if (!balancer->knowledge.is_complete)
-		log_event(LOG_LEVEL_INFO, "listing_complete",
-			  "hosts=%u source=%s",
-			  host_table_count(steering_hosts(balancer->steering)),
-			  balancer->knowledge.source);
 	balancer->knowledge.is_complete = true;
 }
 
@@ -103,6 +105,7 @@
 
 	knowledge->revision = MAX(knowledge->revision, revision);
 	knowledge->confirmed_ns = MAX(knowledge->confirmed_ns, confirmed_ns);
+	balancer_listing_check(balancer);
 	if (is_newer)
 		sharing_push(balancer->sharing);
 }
@@ -136,6 +139,7 @@
 		.batch_ms = BATCH_MS,
 		.on_listing_begin = listing_begin,
 		.on_listing_end = listing_end,
+		.on_first_page = first_page_hear,
 		.on_item = store_item_apply,
 		.on_current = store_current,
 		.on_reachable = store_reachable,
--- a/parsleyladder/forwarder.c
+++ b/parsleyladder/forwarder.c
@@ -5,11 +5,15 @@
 
 #include "common/endpoint.h"
 #include "edge/edge.h"
+#include "parsleyladder/held_packets.h"
 #include "platform/datagram.h"
 
 /* Absorbs about 50 ms of packets while the loop does something else. */
 #define RECEIVE_BUFFER_BYTES (512 * 1024)
 
+/* Of some thousand flows, in the second before the first listing. */
+#define HELD_PACKETS_MAX 2048
+
 enum forwarder_fault {
 	FAULT_MALFORMED,
 	FAULT_STALE_AFTER_PAUSE,
@@ -26,6 +30,7 @@
 struct forwarder {
 	struct forwarder_options options;
 	struct edge *edge;
+	struct held_packets *held;
 	uint16_t caller_port; /* where callers get packets */
 	bool is_in_batch;
 	bool is_batch_dropped;
@@ -38,11 +43,17 @@
 	[STEERING_FORWARD] = "forward",
 	[STEERING_RESET] = "reset",
 	[STEERING_DROP] = "drop",
+	[STEERING_HOLD] = "hold",
 };
 
+/* A packet that @is_transient is freed before the edge is flushed. */
 static void packet_forward(struct forwarder *forwarder, uint8_t *data,
-			   size_t length, const struct known_host *host)
+			   size_t length, bool is_transient,
+			   const struct known_host *host)
 {
+	void (*send)(struct edge * edge, const struct sockaddr *destination,
+		     socklen_t destination_bytes, const uint8_t *data,
+		     size_t length) = is_transient ? edge_send_copy : edge_send;
 	struct sockaddr_storage destination;
 	uint8_t *start = data - DATAGRAM_TARGET_BYTES;
 	socklen_t bytes = edge_destination(forwarder->edge,
@@ -55,8 +66,8 @@
 	}
 	datagram_set_token(data, host->token);
 	datagram_set_target(start, host->published.number);
-	edge_send(forwarder->edge, (struct sockaddr *)&destination, bytes,
-		  start, length + DATAGRAM_TARGET_BYTES);
+	send(forwarder->edge, (struct sockaddr *)&destination, bytes, start,
+	     length + DATAGRAM_TARGET_BYTES);
 }
 
 void forwarder_reset(struct forwarder *forwarder, const struct flow_key *key,
@@ -105,11 +116,31 @@
 	forwarder->verdicts[decision->verdict]++;
 }
 
+static void packet_handle(struct forwarder *forwarder, uint8_t *data,
+			  size_t length, bool is_held,
+			  const struct token_packet *packet)
+{
+	struct steering_decision decision;
+
+	packet_decide(forwarder, packet, &decision);
+	if (decision.verdict == STEERING_FORWARD)
+		packet_forward(forwarder, data, length, is_held, decision.host);
+	else if (decision.verdict == STEERING_RESET)
+		forwarder_reset(forwarder, &packet->facts.key,
+				packet->facts.tcp_acknowledgement);
+	else if (decision.verdict == STEERING_HOLD && !is_held)
+		held_packets_add(forwarder->held, &packet->facts.key,
+				 decision.is_opening, data, length,
+				 clock_now_ns(forwarder->options.clock));
+	if (decision.is_opening || decision.verdict != STEERING_FORWARD)
+		forwarder->options.on_decision(forwarder->options.context,
+					       packet, &decision);
+}
+
 static void datagram_handle(void *context, uint8_t *data, size_t length,
 			    const struct sockaddr_storage *source)
 {
 	struct forwarder *forwarder = context;
-	struct steering_decision decision;
 	struct token_packet packet;
 
 	(void)source;
@@ -121,15 +152,26 @@
 		forwarder->faults[FAULT_MALFORMED]++;
 		return;
 	}
-	packet_decide(forwarder, &packet, &decision);
-	if (decision.verdict == STEERING_FORWARD)
-		packet_forward(forwarder, data, length, decision.host);
-	else if (decision.verdict == STEERING_RESET)
-		forwarder_reset(forwarder, &packet.facts.key,
-				packet.facts.tcp_acknowledgement);
-	if (decision.is_opening || decision.verdict != STEERING_FORWARD)
-		forwarder->options.on_decision(forwarder->options.context,
-					       &packet, &decision);
+	packet_handle(forwarder, data, length, false, &packet);
+}
+
+static void packet_release(void *context, uint8_t *data, size_t length)
+{
+	struct token_packet packet;
+
+	if (datagram_read(data, length, &packet))
+		packet_handle(context, data, length, true, &packet);
+}
+
+uint32_t forwarder_release(struct forwarder *forwarder)
+{
+	uint32_t count = held_packets_count(forwarder->held);
+
+	held_packets_release(forwarder->held,
+			     clock_now_ns(forwarder->options.clock),
+			     packet_release, forwarder);
+	edge_flush(forwarder->edge);
+	return count;
 }
 
 static void batch_end(void *context)
@@ -143,6 +185,10 @@
 				   struct error *error)
 {
 	struct forwarder *forwarder = g_new0(struct forwarder, 1);
+	const struct held_packets_options held_options = {
+		.packets_max = HELD_PACKETS_MAX,
+		.headroom_bytes = DATAGRAM_TARGET_BYTES,
+	};
 	struct endpoint endpoint;
 	struct edge_options edge_options = {
 		.receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
@@ -152,6 +198,7 @@
 	};
 
 	forwarder->options = *options;
+	forwarder->held = held_packets_create(&held_options);
 	endpoint_parse(options->settings->packet_endpoint, &endpoint);
 	forwarder->caller_port = endpoint.port;
 	edge_options.address = endpoint.address;
@@ -159,6 +206,7 @@
 	forwarder->edge = edge_create(&edge_options, error);
 	if (forwarder->edge)
 		return forwarder;
+	held_packets_destroy(forwarder->held);
 	g_free(forwarder);
 	return NULL;
 }
@@ -168,6 +216,7 @@
 	if (!forwarder)
 		return;
 	edge_destroy(forwarder->edge);
+	held_packets_destroy(forwarder->held);
 	g_free(forwarder);
 }
 
--- a/sharing/members.c
+++ b/sharing/members.c
@@ -88,6 +88,10 @@
 		return;
 	if (!member)
 		member = member_add(members, entry);
+	if (member && entry->news_age_ms < MEMBER_NEWS_NONE)
+		member->confirmed_ns =
+			MAX(member->confirmed_ns,
+			    now_ns - entry->news_age_ms * NS_PER_MS);
 	if (!member || (member->heard_ns >= heard_ns && member->rank != 0))
 		return;
 	member->heard_ns = heard_ns;
@@ -124,6 +128,62 @@
 	member->avoided_until_ns = 0;
 }
 
+void members_tell_age(struct members *members, uint32_t address,
+		      uint32_t news_age_ms, int64_t now_ns)
+{
+	struct shared_member *member = members_find(members, address);
+
+	if (!member)
+		return;
+	member->confirmed_ns = 0;
+	if (news_age_ms != UINT32_MAX)
+		member->confirmed_ns = now_ns - news_age_ms * NS_PER_MS;
+}
+
+static bool is_other(const struct members *members,
+		     const struct shared_member *member)
+{
+	return member->address != members->self.address;
+}
+
+/* Reservoir sampling: each that fits is as likely as any other. */
+uint32_t members_draw_informed(struct members *members, GRand *random,
+			       int64_t age_max_ns, int64_t now_ns)
+{
+	const GPtrArray *ranked = members_ranked(members);
+	uint32_t drawn = 0;
+	gint32 seen = 0;
+
+	for (guint i = 0; i < ranked->len; i++) {
+		const struct shared_member *member =
+			g_ptr_array_index(ranked, i);
+
+		if (!is_other(members, member) || member->confirmed_ns == 0 ||
+		    now_ns - member->confirmed_ns > age_max_ns)
+			continue;
+		if (g_rand_int_range(random, 0, ++seen) == 0)
+			drawn = member->address;
+	}
+	return drawn;
+}
+
+uint32_t members_newest(struct members *members)
+{
+	const GPtrArray *ranked = members_ranked(members);
+	const struct shared_member *newest = NULL;
+
+	for (guint i = 0; i < ranked->len; i++) {
+		const struct shared_member *member =
+			g_ptr_array_index(ranked, i);
+
+		if (!is_other(members, member) || member->confirmed_ns == 0)
+			continue;
+		if (!newest || member->confirmed_ns > newest->confirmed_ns)
+			newest = member;
+	}
+	return newest ? newest->address : 0;
+}
+
 void members_expire(struct members *members, int64_t now_ns)
 {
 	GHashTableIter iterator;
@@ -183,6 +243,11 @@
 	entry->zone = member->zone;
 	entry->capacity = member->capacity;
 	entry->age_ms = (uint32_t)(age_ns / NS_PER_MS);
+	entry->news_age_ms = MEMBER_NEWS_NONE;
+	if (member->confirmed_ns != 0)
+		entry->news_age_ms = (uint32_t)MIN(
+			(now_ns - member->confirmed_ns) / NS_PER_MS,
+			MEMBER_NEWS_NONE);
 }
 
 /* Reservoir sampling: each member is as likely as any other. */
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -4,8 +4,9 @@
 
 #include "common/clock.h"
 
-/* Room for hosts beside routes and loads in one message. */
-#define HOSTS_BYTES_MAX 900
+/* Room for hosts beside loads in one message, and in a page of a listing. */
+#define CHANGES_BYTES_MAX 900
+#define PAGE_BYTES_MAX 1250
 
 static uint64_t host_revision(const struct known_host *host)
 {
@@ -34,13 +35,14 @@
 
 /* Appends @host if it fits; a message holds one host at least. */
 static bool host_append(const struct known_host *host, int64_t now_ns,
-			size_t *bytes, struct sharing_message *message)
+			size_t bytes_max, size_t *bytes,
+			struct sharing_message *message)
 {
 	struct host_news news;
 
 	news_fill(host, now_ns, &news);
 	*bytes += host_news_bytes(&news);
-	if (*bytes > HOSTS_BYTES_MAX && message->hosts->len > 0)
+	if (*bytes > bytes_max && message->hosts->len > 0)
 		return false;
 	g_array_append_val(message->hosts, news);
 	return true;
@@ -74,8 +76,8 @@
 
 	message->hosts = g_array_new(FALSE, FALSE, sizeof(struct host_news));
 	while (count < changed->len &&
-	       host_append(g_ptr_array_index(changed, count), now_ns, &bytes,
-			   message))
+	       host_append(g_ptr_array_index(changed, count), now_ns,
+			   CHANGES_BYTES_MAX, &bytes, message))
 		count++;
 	message->has_more = count < changed->len;
 	/* Several hosts may have ended at one revision, that of a listing. */
@@ -97,7 +99,8 @@
 	message->hosts = g_array_new(FALSE, FALSE, sizeof(struct host_news));
 	message->is_listing = true;
 	message->revision = revision;
-	while (host && host_append(host, now_ns, &bytes, message)) {
+	while (host &&
+	       host_append(host, now_ns, PAGE_BYTES_MAX, &bytes, message)) {
 		g_strlcpy(message->cursor, host->published.id,
 			  sizeof(message->cursor));
 		host = host_table_next(table, host->published.id);
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -4,23 +4,6 @@
 
 #include "common/json_member.h"
 
-/* Greetings until somebody answers, and afterwards. */
-#define GREET_FIRST_NS (300 * NS_PER_MS)
-#define GREET_INTERVAL_NS (1 * NS_PER_S)
-/* Others are looked for that know more than the leader. */
-#define GREET_STALE_NS (300 * NS_PER_MS)
-#define GREET_STALE_COUNT 2
-#define GREET_SEED_INTERVAL_NS (3 * NS_PER_S)
-/*
- * A balancer without fresh news reads for itself. If others answer it, but
- * know nothing newer, the first ones in rank do so soon, as the store may
- * refuse some, and the others later, so that an outage is not met by all.
- */
-#define ALONE_AFTER_NS (2000 * NS_PER_MS)
-#define ALONE_RANKS 10
-#define ALONE_STEP_NS (100 * NS_PER_MS)
-#define ALONE_LATE_STEP_NS (500 * NS_PER_MS)
-
 const char *const sharing_counter_names[SHARING_COUNTERS] = {
 	[SHARING_POLLS_SENT] = "polls_sent",
 	[SHARING_POLLS_ANSWERED] = "polls_answered",
@@ -29,6 +12,7 @@
 	[SHARING_NEWS_REFUSED] = "news_refused",
 	[SHARING_NEWS_PUSHED] = "news_pushed",
 	[SHARING_LISTINGS] = "listings",
+	[SHARING_LISTINGS_REFUSED] = "listings_refused",
 	[SHARING_FINDS] = "finds",
 	[SHARING_FOUNDS] = "founds",
 	[SHARING_MALFORMED] = "malformed",
@@ -43,6 +27,7 @@
 		.address = options->address,
 		.zone = zone_hash(options->zone),
 		.capacity = options->capacity,
+		.news_age_ms = MEMBER_NEWS_NONE,
 	};
 
 	sharing->options = *options;
@@ -55,8 +40,8 @@
 	sharing->followers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	token_bucket_init(&sharing->finds, FINDS_PER_S, FINDS_PER_S,
 			  clock_now_ns(options->clock));
-	/* Whoever starts reads until it finds somebody to follow. */
-	sharing->is_reading = true;
+	sharing->started_ns = clock_now_ns(options->clock);
+	sharing->start_draw = g_rand_double(sharing->random);
 	return sharing;
 }
 
@@ -85,59 +70,6 @@
 	sharing->next_seed_greet_ns = 0;
 }
 
-static void greet(struct sharing *sharing, uint32_t address, uint32_t zone,
-		  enum sharing_kind kind, int64_t now_ns)
-{
-	struct sharing_message message = {
-		.kind = kind,
-		.news_age_ms = sharing_age_ms(sharing, now_ns),
-	};
-
-	message.member_count = members_sample(sharing->members, zone, now_ns,
-					      sharing->random, message.members);
-	sharing_send(sharing, address, &message);
-}
-
-static void seeds_greet(struct sharing *sharing, bool is_alone, int64_t now_ns)
-{
-	size_t chosen = 0;
-
-	if (sharing->seed_count == 0 || now_ns < sharing->next_seed_greet_ns)
-		return;
-	sharing->next_seed_greet_ns =
-		now_ns + (is_alone ? GREET_FIRST_NS : GREET_SEED_INTERVAL_NS);
-	chosen = (size_t)g_rand_int_range(sharing->random, 0,
-					  (gint32)sharing->seed_count);
-	for (size_t i = 0; i < sharing->seed_count; i++) {
-		if (sharing->seeds[i] == sharing->options.address ||
-		    (!is_alone && i != chosen))
-			continue;
-		greet(sharing, sharing->seeds[i], sharing->zone, SHARING_GREET,
-		      now_ns);
-	}
-}
-
-static void members_greet(struct sharing *sharing, int64_t now_ns)
-{
-	bool is_alone = members_ranked(sharing->members)->len < 2;
-	bool is_stale = sharing_is_stale(sharing, now_ns);
-	uint32_t count = is_stale ? GREET_STALE_COUNT : 1;
-
-	seeds_greet(sharing, is_alone, now_ns);
-	if (now_ns < sharing->next_greet_ns)
-		return;
-	sharing->next_greet_ns =
-		now_ns + (is_stale ? GREET_STALE_NS : GREET_INTERVAL_NS);
-	for (uint32_t i = 0; i < count; i++) {
-		uint32_t other =
-			members_draw(sharing->members, sharing->random);
-
-		if (other != 0)
-			greet(sharing, other, sharing->zone, SHARING_GREET,
-			      now_ns);
-	}
-}
-
 /* First member in rank that answers; 0 if that is this balancer. */
 static uint32_t leader_find(struct sharing *sharing, int64_t now_ns)
 {
@@ -155,20 +87,6 @@
 	return 0;
 }
 
-static guint own_rank(struct sharing *sharing)
-{
-	const GPtrArray *ranked = members_ranked(sharing->members);
-
-	for (guint i = 0; i < ranked->len; i++) {
-		const struct shared_member *member =
-			g_ptr_array_index(ranked, i);
-
-		if (member->address == sharing->options.address)
-			return i;
-	}
-	return 0;
-}
-
 /* The leader answers, but has been telling old news for too long. */
 static bool leader_is_stale(const struct sharing *sharing, int64_t now_ns)
 {
@@ -177,41 +95,6 @@
 	return now_ns - since_ns > NEWS_AGE_MAX_NS;
 }
 
-static void reading_set(struct sharing *sharing, bool is_reading,
-			const char *reason)
-{
-	if (sharing->is_reading == is_reading)
-		return;
-	sharing->is_reading = is_reading;
-	sharing->options.on_reading(sharing->options.context, is_reading,
-				    reason);
-}
-
-static int64_t alone_after_ns(struct sharing *sharing, int64_t now_ns)
-{
-	int64_t rank = own_rank(sharing);
-
-	if (now_ns - sharing->answered_ns > ALONE_AFTER_NS)
-		return ALONE_AFTER_NS;
-	return ALONE_AFTER_NS + MIN(rank, ALONE_RANKS) * ALONE_STEP_NS +
-	       MAX(rank - ALONE_RANKS, 0) * ALONE_LATE_STEP_NS;
-}
-
-static void reading_update(struct sharing *sharing, int64_t now_ns)
-{
-	const struct knowledge *knowledge = sharing->options.knowledge;
-	int64_t alone_ns = alone_after_ns(sharing, now_ns);
-
-	if (sharing->leader == 0)
-		reading_set(sharing, true, "leads");
-	else if (now_ns - knowledge->confirmed_ns > alone_ns)
-		reading_set(sharing, true, "news_are_old");
-	else if (knowledge->is_complete && sharing->fresh_news_ns != 0 &&
-		 now_ns - sharing->fresh_news_ns <= POLL_INTERVAL_NS &&
-		 steering_routing(sharing->options.steering))
-		reading_set(sharing, false, "follows");
-}
-
 void sharing_tick(struct sharing *sharing)
 {
 	int64_t now_ns = clock_now_ns(sharing->options.clock);
@@ -219,21 +102,14 @@
 			leader_is_stale(sharing, now_ns);
 
 	members_expire(sharing->members, now_ns);
-	members_greet(sharing, now_ns);
+	greet_tick(sharing, now_ns);
 	if (is_stale)
 		members_avoid(sharing->members, sharing->leader, now_ns);
 	follow_set_leader(sharing, leader_find(sharing, now_ns),
 			  is_stale ? "leader_is_stale" : "rank");
 	follow_tick(sharing, now_ns);
 	serve_tick(sharing, now_ns);
-	reading_update(sharing, now_ns);
-}
-
-static void members_take(struct sharing *sharing,
-			 const struct sharing_message *message, int64_t now_ns)
-{
-	for (size_t i = 0; i < message->member_count; i++)
-		members_hear(sharing->members, &message->members[i], now_ns);
+	read_tick(sharing, now_ns);
 }
 
 void sharing_handle_datagram(struct sharing *sharing, uint32_t address,
@@ -252,17 +128,13 @@
 		.address = address,
 		.zone = message.zone,
 		.capacity = message.capacity,
+		.news_age_ms = MEMBER_NEWS_NONE,
 	};
 	members_hear(sharing->members, &sender, now_ns);
 	switch (message.kind) {
 	case SHARING_GREET:
-		members_take(sharing, &message, now_ns);
-		follow_hear_age(sharing, address, message.news_age_ms, now_ns);
-		greet(sharing, address, message.zone, SHARING_GREETED, now_ns);
-		break;
 	case SHARING_GREETED:
-		members_take(sharing, &message, now_ns);
-		follow_hear_age(sharing, address, message.news_age_ms, now_ns);
+		greet_take(sharing, address, &message, now_ns);
 		break;
 	case SHARING_POLL:
 		serve_handle_poll(sharing, address, &message, now_ns);
@@ -282,6 +154,14 @@
 	sharing_message_clear(&message);
 }
 
+void sharing_hear_first_page(struct sharing *sharing, bool has_more)
+{
+	if (sharing_is_informed(sharing) || !has_more)
+		return;
+	sharing->is_large = true;
+	read_tick(sharing, clock_now_ns(sharing->options.clock));
+}
+
 void sharing_push(struct sharing *sharing)
 {
 	serve_push(sharing, clock_now_ns(sharing->options.clock));
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -40,11 +40,13 @@
 
 static void helper_poll(struct sharing *sharing, int64_t now_ns)
 {
-	sharing->next_helper_poll_ns = now_ns + POLL_INTERVAL_NS;
+	sharing->next_helper_poll_ns = now_ns + (sharing_is_informed(sharing)
+							 ? POLL_INTERVAL_NS
+							 : PAGE_REPEAT_NS);
 	poll_send_to(sharing, sharing->helper);
 }
 
-static bool is_helped(const struct sharing *sharing, int64_t now_ns)
+bool follow_is_helped(const struct sharing *sharing, int64_t now_ns)
 {
 	return sharing->helper != 0 && now_ns < sharing->helper_until_ns;
 }
@@ -53,38 +55,11 @@
 		       int64_t now_ns)
 {
 	sharing->helper = address;
+	sharing->helper_heard_ns = now_ns;
 	sharing->helper_until_ns = now_ns + HELPER_NS;
 	helper_poll(sharing, now_ns);
 }
 
-/*
- * A balancer that knows nothing asks members drawn at random for a listing, not
- * the seeds that all greet: if a zone restarts, few could not serve all of them.
- */
-static void listing_draw(struct sharing *sharing, int64_t now_ns)
-{
-	uint32_t drawn = members_draw(sharing->members, sharing->random);
-
-	if (drawn != 0)
-		helper_set(sharing, drawn, now_ns);
-}
-
-void follow_hear_age(struct sharing *sharing, uint32_t address,
-		     uint32_t news_age_ms, int64_t now_ns)
-{
-	if (news_age_ms * NS_PER_MS >= KNOWLEDGE_AGE_MAX_NS)
-		return;
-	if (!sharing->options.knowledge->is_complete) {
-		/* The first answer says that others know; ticks draw again. */
-		if (sharing->listing_source == 0 && sharing->helper == 0)
-			listing_draw(sharing, now_ns);
-		return;
-	}
-	if (sharing_is_stale(sharing, now_ns) && address != sharing->leader &&
-	    !is_helped(sharing, now_ns))
-		helper_set(sharing, address, now_ns);
-}
-
 static void incoming_drop(struct sharing *sharing)
 {
 	sharing->incoming_version = 0;
@@ -109,7 +84,9 @@
 	sharing->next_poll_ns = 0;
 	sharing->polls_lost = 0;
 	sharing->fresh_news_ns = 0;
-	incoming_drop(sharing);
+	/* The first routes come from the helper, not from the leader. */
+	if (sharing_is_informed(sharing))
+		incoming_drop(sharing);
 	sharing->counters[SHARING_LEADER_CHANGES]++;
 	sharing->options.on_leader(sharing->options.context, leader, reason);
 }
@@ -119,34 +96,79 @@
 {
 	listing_drop(sharing);
 	sharing->listing_source = source;
-	sharing->page_ns = now_ns;
+	sharing->page_asked_ns = now_ns;
 	sharing->counters[SHARING_LISTINGS]++;
 }
 
-static void listing_tick(struct sharing *sharing, int64_t now_ns)
+/*
+ * A balancer that knows nothing asks one of the members for a listing that told
+ * fresh news, drawn at random: if a zone restarts, few could not serve all of
+ * it. While the store is away no news are fresh. Then the newest are taken, and
+ * not before several members had time to answer, as one may have been cut off.
+ */
+static void listing_draw(struct sharing *sharing, int64_t now_ns)
 {
-	if (sharing->options.knowledge->is_complete) {
-		/* The store was faster. */
-		listing_drop(sharing);
+	uint32_t drawn = members_draw_informed(sharing->members,
+					       sharing->random,
+					       KNOWLEDGE_AGE_MAX_NS, now_ns);
+
+	if (drawn == 0 && now_ns - sharing->started_ns >= OLD_LISTING_AFTER_NS)
+		drawn = members_newest(sharing->members);
+	if (drawn == 0)
 		return;
-	}
-	if (sharing->listing_source != 0 &&
-	    now_ns - sharing->page_ns < PAGE_LOST_NS) {
-		if (now_ns - sharing->page_asked_ns >= PAGE_REPEAT_NS)
-			poll_send_to(sharing, sharing->listing_source);
+	if (!sharing->options.knowledge->is_complete)
+		listing_begin(sharing, drawn, now_ns);
+	helper_set(sharing, drawn, now_ns);
+}
+
+void follow_hear_age(struct sharing *sharing, uint32_t address,
+		     uint32_t news_age_ms, int64_t now_ns)
+{
+	if (news_age_ms * NS_PER_MS >= KNOWLEDGE_AGE_MAX_NS)
+		return;
+	if (!sharing->options.knowledge->is_complete) {
+		if (!follow_is_helped(sharing, now_ns))
+			listing_draw(sharing, now_ns);
 		return;
 	}
+	if (sharing_is_stale(sharing, now_ns) && address != sharing->leader &&
+	    !follow_is_helped(sharing, now_ns))
+		helper_set(sharing, address, now_ns);
+}
+
+/* The helper is silent, busy or knows nothing itself. */
+static void helper_replace(struct sharing *sharing, int64_t now_ns)
+{
+	if (sharing->helper != 0)
+		members_tell_age(sharing->members, sharing->helper, UINT32_MAX,
+				 now_ns);
+	sharing->helper = 0;
 	listing_drop(sharing);
+	incoming_drop(sharing);
 	listing_draw(sharing, now_ns);
 }
 
+/* Until hosts and routes are known, a helper that falls silent is replaced. */
+static void listing_tick(struct sharing *sharing, int64_t now_ns)
+{
+	/* Else the store was faster. */
+	if (sharing->options.knowledge->is_complete)
+		listing_drop(sharing);
+	if (sharing_is_informed(sharing))
+		return;
+	if (follow_is_helped(sharing, now_ns) &&
+	    now_ns - sharing->helper_heard_ns < PAGE_LOST_NS)
+		return;
+	helper_replace(sharing, now_ns);
+}
+
 void follow_tick(struct sharing *sharing, int64_t now_ns)
 {
 	listing_tick(sharing, now_ns);
-	if (is_helped(sharing, now_ns) &&
+	if (follow_is_helped(sharing, now_ns) &&
 	    now_ns >= sharing->next_helper_poll_ns)
 		helper_poll(sharing, now_ns);
-	if (sharing->leader == 0)
+	if (sharing->leader == 0 || !sharing_is_informed(sharing))
 		return;
 	if (sharing->poll_sent_ns != 0 &&
 	    now_ns - sharing->poll_sent_ns >= POLL_TIMEOUT_NS) {
@@ -248,8 +270,6 @@
 	if (address != sharing->listing_source ||
 	    news->base != listing_page_id(sharing->cursor))
 		return false;
-	sharing->page_ns = now_ns;
-	sharing->helper_until_ns = now_ns + HELPER_NS;
 	if (!sharing->listing)
 		sharing->listing = host_listing_create(news->revision);
 	replica_apply(table, sharing->listing, news, now_ns);
@@ -302,11 +322,6 @@
 	bool is_complete = sharing->options.knowledge->is_complete;
 	bool wants_more = false;
 
-	if (!is_complete && sharing->listing_source == 0 &&
-	    address == sharing->helper) {
-		listing_begin(sharing, address, now_ns);
-		return true;
-	}
 	/* Hosts first, then routes, both from the member that was drawn. */
 	if (!is_complete && address != sharing->listing_source)
 		return false;
@@ -331,12 +346,22 @@
 	sharing->answered_ns = now_ns;
 }
 
+/* A helper is kept for as long as the first listing comes from it. */
+static void helper_note(struct sharing *sharing, int64_t now_ns)
+{
+	sharing->helper_heard_ns = now_ns;
+	if (sharing_is_informed(sharing))
+		return;
+	sharing->helper_until_ns = now_ns + HELPER_NS;
+	sharing->next_helper_poll_ns = now_ns + PAGE_REPEAT_NS;
+}
+
 void follow_handle_news(struct sharing *sharing, uint32_t address,
 			const struct sharing_message *news, int64_t now_ns)
 {
 	bool is_leader = address == sharing->leader;
 	bool is_helper = address == sharing->helper &&
-			 is_helped(sharing, now_ns);
+			 follow_is_helped(sharing, now_ns);
 	int64_t asked_ns = is_leader && sharing->poll_sent_ns != 0
 				   ? sharing->poll_sent_ns
 				   : now_ns;
@@ -347,8 +372,13 @@
 	}
 	if (is_leader)
 		leader_answer_note(sharing, address, now_ns);
-	if (news->age_ms == UINT32_MAX)
+	if (is_helper)
+		helper_note(sharing, now_ns);
+	if (news->age_ms == UINT32_MAX) {
+		if (is_helper && !sharing_is_informed(sharing))
+			helper_replace(sharing, now_ns);
 		return;
+	}
 	if (news->needs_listing && sharing->options.knowledge->is_complete) {
 		/* It has started lately; others know what came before. */
 		members_avoid(sharing->members, address, now_ns);
@@ -356,6 +386,8 @@
 	}
 	sharing->counters[SHARING_NEWS_TAKEN]++;
 	sharing->options.knowledge->source = "peer";
+	sharing->awaits_routes = news->version > 0 &&
+				 !steering_routing(sharing->options.steering);
 	if (news_take(sharing, address, news, now_ns)) {
 		if (is_leader)
 			poll_send(sharing, now_ns);
--- a/sharing/sharing_message.c
+++ b/sharing/sharing_message.c
@@ -36,7 +36,8 @@
 		bytes_put(bytes, entry->address, 4);
 		bytes_put(bytes, entry->zone, 4);
 		bytes_put(bytes, entry->capacity, 2);
-		bytes_put(bytes, entry->age_ms, 4);
+		bytes_put(bytes, MIN(entry->age_ms, UINT16_MAX), 2);
+		bytes_put(bytes, MIN(entry->news_age_ms, MEMBER_NEWS_NONE), 2);
 	}
 	field_write_array(writer, bytes);
 }
@@ -61,7 +62,8 @@
 		entry->address = (uint32_t)bytes_get(&data, 4);
 		entry->zone = (uint32_t)bytes_get(&data, 4);
 		entry->capacity = (uint16_t)bytes_get(&data, 2);
-		entry->age_ms = (uint32_t)bytes_get(&data, 4);
+		entry->age_ms = (uint32_t)bytes_get(&data, 2);
+		entry->news_age_ms = (uint32_t)bytes_get(&data, 2);
 	}
 }
 
--- a/sharing/sharing_send.c
+++ b/sharing/sharing_send.c
@@ -5,11 +5,18 @@
 	const struct knowledge *knowledge = sharing->options.knowledge;
 	int64_t age_ns = now_ns - knowledge->confirmed_ns;
 
-	if (!knowledge->is_complete || knowledge->confirmed_ns == 0)
+	if (!sharing_is_informed(sharing) || knowledge->confirmed_ns == 0)
 		return UINT32_MAX;
 	return (uint32_t)MIN(age_ns / NS_PER_MS, (int64_t)UINT32_MAX);
 }
 
+bool sharing_is_informed(const struct sharing *sharing)
+{
+	return sharing->options.knowledge->is_complete &&
+	       (!sharing->awaits_routes ||
+		steering_routing(sharing->options.steering));
+}
+
 bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns)
 {
 	return now_ns - sharing->options.knowledge->confirmed_ns >
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -133,13 +133,60 @@
 	return follower;
 }
 
+static bool is_listing_served(const struct follower *follower, int64_t now_ns)
+{
+	return follower->listing_ns != 0 &&
+	       now_ns - follower->listing_ns < PAGE_LOST_NS;
+}
+
+/* True if the sender of @poll may begin a listing, or go on with one. */
+static bool listing_admit(struct sharing *sharing, struct follower *follower,
+			  const struct sharing_message *poll, int64_t now_ns)
+{
+	uint32_t served = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	if (!poll->is_listing)
+		return true;
+	if (!follower)
+		return false;
+	if (!is_listing_served(follower, now_ns)) {
+		g_hash_table_iter_init(&iterator, sharing->followers);
+		while (g_hash_table_iter_next(&iterator, NULL, &value))
+			served += is_listing_served(value, now_ns);
+		if (served >= LISTINGS_SERVED_MAX)
+			return false;
+	}
+	follower->listing_ns = now_ns;
+	return true;
+}
+
+static void listing_refuse(struct sharing *sharing, uint32_t address)
+{
+	struct sharing_message news = {
+		.kind = SHARING_NEWS,
+		.age_ms = UINT32_MAX,
+	};
+
+	sharing->counters[SHARING_LISTINGS_REFUSED]++;
+	sharing_send(sharing, address, &news);
+}
+
 void serve_handle_poll(struct sharing *sharing, uint32_t address,
 		       const struct sharing_message *message, int64_t now_ns)
 {
+	struct follower *follower =
+		follower_note(sharing, address, message, now_ns);
 	struct sharing_message news = { 0 };
 
 	sharing->counters[SHARING_POLLS_ANSWERED]++;
-	follower_note(sharing, address, message, now_ns);
+	if (!listing_admit(sharing, follower, message, now_ns)) {
+		listing_refuse(sharing, address);
+		return;
+	}
+	if (follower && !message->is_listing)
+		follower->listing_ns = 0;
 	if (message->chunk > 0) {
 		/* A chunk of routes leaves no room for hosts. */
 		news.revision = message->revision;
@@ -149,8 +196,10 @@
 		chunk_fill(sharing, 0, 0, &news);
 		hosts_fill(sharing, message->revision, message->is_listing,
 			   message->cursor, now_ns, &news);
-		news.load_count = serve_loads_fill(sharing, true, news.loads);
 	}
+	/* Pages leave no room for loads, which are of no use before the last. */
+	if (!message->is_listing && message->chunk == 0)
+		news.load_count = serve_loads_fill(sharing, true, news.loads);
 	news_send(sharing, address, &news, now_ns);
 }
 
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -3,8 +3,9 @@
 
 /**
  * State of the sharing of news, and its layers: sharing.c takes datagrams and
- * ticks and calls sharing_follow.c, sharing_find.c or sharing_serve.c, and these
- * call sharing_send.c. None calls back.
+ * ticks and calls sharing_greet.c, sharing_read.c, sharing_find.c or
+ * sharing_serve.c; greetings call sharing_follow.c, and all of these call
+ * sharing_send.c. None calls back.
  */
 
 #include "common/token_bucket.h"
@@ -23,9 +24,16 @@
 /** How long a member with newer news is asked beside the leader. */
 #define HELPER_NS (2 * NS_PER_S)
 /** A page of a listing that did not come for this long is asked for again. */
-#define PAGE_REPEAT_NS (200 * NS_PER_MS)
+#define PAGE_REPEAT_NS (100 * NS_PER_MS)
 /** A listing without a page for this long starts again at another member. */
-#define PAGE_LOST_NS (700 * NS_PER_MS)
+#define PAGE_LOST_NS (500 * NS_PER_MS)
+/** Time to hear of a member with fresh news before old ones are listed. */
+#define OLD_LISTING_AFTER_NS (500 * NS_PER_MS)
+/**
+ * Listings that are served at once. Whoever is turned away asks a member that
+ * has finished its own meanwhile, so that the load spreads like a tree.
+ */
+#define LISTINGS_SERVED_MAX 24
 /** A follower that did not poll for this long is forgotten. */
 #define FOLLOWER_AGE_MAX_NS (1500 * NS_PER_MS)
 
@@ -37,6 +45,7 @@
 	uint64_t revision; /* that it had with its last poll */
 	uint64_t version;
 	int64_t polled_ns;
+	int64_t listing_ns; /* when it last asked for a page of a listing */
 	struct zone_load loads[HOST_LOADS_MAX];
 	size_t load_count;
 };
@@ -48,8 +57,13 @@
 	GRand *random;
 	uint32_t *seeds;
 	size_t seed_count;
+	int64_t started_ns;
+	double start_draw; /* from 0 to 1, spreads the starts */
+	bool is_large; /* a listing of the store has many pages */
+	int64_t greeted_ns; /* of the first answer to a greeting; 0 for none */
 	int64_t next_greet_ns;
 	int64_t next_seed_greet_ns;
+	bool is_announced; /* members were told of the first listing */
 	bool is_reading;
 
 	/* Following. */
@@ -62,12 +76,13 @@
 	int64_t answered_ns; /* when any leader last answered */
 	/* Asked beside a leader that tells old news. */
 	uint32_t helper;
+	int64_t helper_heard_ns;
 	int64_t helper_until_ns;
 	int64_t next_helper_poll_ns;
 	/* All pages of the listing come from it; 0 if none is under way. */
 	uint32_t listing_source;
 	int64_t page_asked_ns;
-	int64_t page_ns; /* when the last page came, or the listing began */
+	bool awaits_routes; /* the source has routes that are not known here */
 	struct host_listing *listing; /* NULL before its first page */
 	char cursor[HOST_ID_BYTES_MAX + 1];
 	struct zone_load reported[HOST_LOADS_MAX]; /* with the last poll */
@@ -108,10 +123,20 @@
 /** Names the page that follows @cursor, in the answer that carries it. */
 uint64_t listing_page_id(const char *cursor);
 
+/* Finding members, and telling of a first listing: sharing_greet.c. */
+void greet_tick(struct sharing *sharing, int64_t now_ns);
+void greet_take(struct sharing *sharing, uint32_t address,
+		const struct sharing_message *message, int64_t now_ns);
+
+/* Deciding whether to read the store: sharing_read.c. */
+void read_tick(struct sharing *sharing, int64_t now_ns);
+
 /* Following: sharing_follow.c. */
 void follow_set_leader(struct sharing *sharing, uint32_t leader,
 		       const char *reason);
 void follow_tick(struct sharing *sharing, int64_t now_ns);
+/** Another member than the leader is asked. */
+bool follow_is_helped(const struct sharing *sharing, int64_t now_ns);
 /** A member told how old its news are; newer ones are asked for. */
 void follow_hear_age(struct sharing *sharing, uint32_t address,
 		     uint32_t news_age_ms, int64_t now_ns);
--- a/standins/soak/callers.c
+++ b/standins/soak/callers.c
@@ -189,6 +189,7 @@
 	if (caller->is_probe) {
 		if (!caller->is_open && soak->has_extra_route &&
 		    soak_now(soak) - soak->routes_changed_ns > SOAK_CONFIG_NS &&
+		    soak_store_fault(soak->store) == STORE_WELL &&
 		    soak_is_calm(soak, caller->through->disturbed_ns))
 			soak_violation(soak, CHECK_ROUTE_LATE,
 				       "published route refused by b%u",
--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -176,6 +176,7 @@
 {
 	(void)index;
 	soak_store_set_fault(soak->store, STORE_WELL);
+	soak_note(soak, "store is well");
 	store_disturb(soak);
 }
 
--- a/steering/flow_cache.c
+++ b/steering/flow_cache.c
@@ -15,14 +15,7 @@
 
 static gboolean key_equal(gconstpointer left, gconstpointer right)
 {
-	const struct flow_key *a = left;
-	const struct flow_key *b = right;
-
-	return a->caller_port == b->caller_port &&
-	       a->service_port == b->service_port &&
-	       a->protocol == b->protocol &&
-	       ip_address_equal(&a->caller, &b->caller) &&
-	       ip_address_equal(&a->service, &b->service);
+	return flow_key_equal(left, right);
 }
 
 struct flow_cache *flow_cache_create(uint32_t flows_max)
--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -85,6 +85,11 @@
 	steering_decide(decision, STEERING_DROP, STEERING_NO_TOKEN, NULL);
 	if (packet->token == 0)
 		return;
+	if (!steering->is_listed) {
+		steering_decide(decision, STEERING_HOLD, STEERING_NOT_READY,
+				NULL);
+		return;
+	}
 	decision->reason = STEERING_TOKEN_UNKNOWN;
 	steering->options.find_token(steering->options.context, packet->token);
 }
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -93,7 +93,7 @@
 	memset(decision, 0, sizeof(*decision));
 	decision->is_opening = (facts->tcp_flags & TCP_FLAG_SYN) != 0;
 	if (!steering->routing) {
-		steering_decide(decision, STEERING_DROP, STEERING_NOT_READY,
+		steering_decide(decision, STEERING_HOLD, STEERING_NOT_READY,
 				NULL);
 		goto out;
 	}
@@ -108,6 +108,10 @@
 				STEERING_NO_ROUTE, NULL);
 		if (flow)
 			flow_cache_remove(steering->flows, flow);
+	} else if (decision->is_opening && !steering->is_listed) {
+		/* The first hosts of a listing would get all new flows. */
+		steering_decide(decision, STEERING_HOLD, STEERING_NOT_READY,
+				NULL);
 	} else if (decision->is_opening) {
 		opening_handle(steering, packet, rule, flow, now_ns, decision);
 	} else {
@@ -143,6 +147,11 @@
 	return steering->hosts;
 }
 
+void steering_set_listed(struct steering *steering)
+{
+	steering->is_listed = true;
+}
+
 void steering_set_informed(struct steering *steering, bool is_informed)
 {
 	if (is_informed && !steering->is_informed)
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -23,6 +23,7 @@
 	GHashTable *pools; /* service to struct placement_pool */
 	uint64_t silence_changes; /* hosts that fell silent or are back */
 	GRand *random;
+	bool is_listed; /* the hosts were known completely once */
 	bool is_informed;
 	int64_t informed_since_ns;
 	int64_t progress_ns; /* of any host */
--- /dev/null
+++ b/tests/parsleyladder/test_held_packets.c
@@ -0,0 +1,110 @@
+/*
+ * Guards against callers that wait for their next repeat, up to 1.6 s, though
+ * the balancer learned meanwhile where their packets go; and against packets
+ * that are sent on when their callers have given up, or that use up the memory.
+ */
+
+#include <check.h>
+#include <glib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "parsleyladder/held_packets.h"
+#include "suite.h"
+
+#define PACKETS_MAX 4
+#define HEADROOM_BYTES 8
+#define START_NS (10 * NS_PER_S)
+
+static struct held_packets *held;
+static GString *released;
+
+static void held_open(void)
+{
+	const struct held_packets_options options = {
+		.packets_max = PACKETS_MAX,
+		.headroom_bytes = HEADROOM_BYTES,
+	};
+
+	held = held_packets_create(&options);
+	released = g_string_new(NULL);
+}
+
+static void held_close(void)
+{
+	held_packets_destroy(held);
+	g_string_free(released, TRUE);
+}
+
+/* Packets are texts; the room before them is written as the forwarder does. */
+static void text_release(void *context, uint8_t *data, size_t length)
+{
+	(void)context;
+	memset(data - HEADROOM_BYTES, 0xff, HEADROOM_BYTES);
+	g_string_append_len(released, (const char *)data, (gssize)length);
+}
+
+static const char *release(uint32_t after_ms)
+{
+	g_string_truncate(released, 0);
+	held_packets_release(held, START_NS + after_ms * NS_PER_MS,
+			     text_release, NULL);
+	ck_assert_uint_eq(held_packets_count(held), 0);
+	return released->str;
+}
+
+static void add(uint16_t port, bool is_opening, const char *text,
+		uint32_t after_ms)
+{
+	const struct flow_key key = { .caller_port = port };
+
+	held_packets_add(held, &key, is_opening, (const uint8_t *)text,
+			 strlen(text), START_NS + after_ms * NS_PER_MS);
+}
+
+static const struct {
+	bool is_opening;
+	uint32_t held_ms;
+	const char *released;
+} ages[] = {
+	{ true, 0, "x" },    { true, 700, "x" },   { true, 701, "" },
+	{ false, 701, "x" }, { false, 1600, "x" }, { false, 1601, "" },
+};
+
+START_TEST(packets_of_callers_that_gave_up_are_dropped) {
+	add(1, ages[_i].is_opening, "x", 0);
+	ck_assert_str_eq(release(ages[_i].held_ms), ages[_i].released);
+}
+END_TEST
+
+START_TEST(newest_packet_of_each_flow_is_kept) {
+	add(1, true, "a", 0);
+	add(2, false, "b", 100);
+	add(1, true, "c", 200);
+	ck_assert_uint_eq(held_packets_count(held), 2);
+	ck_assert_str_eq(release(300), "bc");
+	ck_assert_str_eq(release(300), "");
+}
+END_TEST
+
+START_TEST(number_is_bounded) {
+	for (uint16_t port = 1; port <= PACKETS_MAX + 2; port++)
+		add(port, false, (char[]){ (char)('a' + port), '\0' }, port);
+	ck_assert_uint_eq(held_packets_count(held), PACKETS_MAX);
+	ck_assert_str_eq(release(10), "defg");
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("held packets");
+	TCase *cases = tcase_create("held packets");
+
+	tcase_add_checked_fixture(cases, held_open, held_close);
+	tcase_add_loop_test(cases, packets_of_callers_that_gave_up_are_dropped,
+			    0, G_N_ELEMENTS(ages));
+	tcase_add_test(cases, newest_packet_of_each_flow_is_kept);
+	tcase_add_test(cases, number_is_bounded);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -15,6 +15,7 @@
 struct node {
 	struct network *network;
 	uint32_t address;
+	const char *zone;
 	struct steering *steering;
 	struct sharing *sharing;
 	struct knowledge knowledge;
@@ -22,7 +23,11 @@
 	bool is_down; /* takes and sends nothing */
 	bool is_refused; /* the store does not answer it */
 	int64_t asked_ns; /* of the store */
+	int64_t listed_ns; /* when the store has sent its listing; 0 for none */
+	int64_t start_ns; /* takes and sends nothing before */
+	int64_t informed_ns; /* since then hosts and routes are known */
 	uint32_t store_calls;
+	uint32_t store_listings;
 	uint64_t bytes_sent;
 };
 
@@ -32,6 +37,8 @@
 	struct node nodes[NODES_MAX];
 	uint32_t node_count;
 	bool is_store_down;
+	uint32_t listing_ms; /* of the store's link, for one listing */
+	int64_t link_free_ns; /* the store's link is busy until then */
 	uint64_t store_revision;
 	GPtrArray *withdrawn; /* ids, char * */
 	uint64_t withdrawn_revision;
@@ -59,6 +66,12 @@
 				uint64_t revision);
 /** Lets a node read the store at once, and push what is new. */
 void network_read_now(struct network *network, uint32_t index);
+/**
+ * Replaces all nodes by new processes that know nothing and start within
+ * @spread_ms; the seeds start @seeds_late_ms after the others.
+ */
+void network_restart_all(struct network *network, uint32_t zones,
+			 uint32_t spread_ms, uint32_t seeds_late_ms);
 /** Replaces a node by a new process that knows nothing. */
 void network_restart(struct network *network, uint32_t index);
 
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -55,6 +55,12 @@
 }
 
 void fixture_open(struct fixture *fixture, const char *zone)
+{
+	fixture_open_unlisted(fixture, zone);
+	steering_set_listed(fixture->steering);
+}
+
+void fixture_open_unlisted(struct fixture *fixture, const char *zone)
 {
 	struct steering_options options = {
 		.zone = zone,
--- a/tests/steering/fixture.h
+++ b/tests/steering/fixture.h
@@ -32,6 +32,8 @@
 };
 
 void fixture_open(struct fixture *fixture, const char *zone);
+/** As before the first listing is complete. */
+void fixture_open_unlisted(struct fixture *fixture, const char *zone);
 /** Zone "a" with hosts 1 and 2, host 3 in zone "b", and a route to them. */
 void fixture_open_three(struct fixture *fixture);
 void fixture_close(struct fixture *fixture);
--- a/tests/steering/test_sessions.c
+++ b/tests/steering/test_sessions.c
@@ -32,6 +32,7 @@
 	[STEERING_FORWARD] = "forward",
 	[STEERING_RESET] = "reset",
 	[STEERING_DROP] = "drop",
+	[STEERING_HOLD] = "hold",
 };
 
 struct session {
