Keep late packets of an earlier flow from moving the next one

Operators told of answers that reached the next caller of a connection. A balancer sees the callers' half only, but a caller that uses its port again at once had the same effect here: a late data packet of the flow before, with the token of its old host, moved the cached entry of the new flow to that host. It counted as progress of a host that may be dead, and when that host fell silent the new flow, on a healthy host, was reset.

Change: a packet whose token names another host than the entry's, more than 1 MB from its sequence and within 2 s, goes to the host of its token and changes nothing. Later, the entry is taken over, as the new flow may have begun at another balancer.

Tests: late_packet_of_an_earlier_flow_moves_nothing (failed before: the silent host was taken for alive), next_flow_of_a_port_is_taken_over. Ruled out: comparing acknowledgements (a flow first seen midway has none to compare).

--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -1,5 +1,12 @@
 #include "steering_state.h"
 
+#include <stdlib.h>
+
+/* Packets of one flow that are under way at once are closer than this. */
+#define FLOW_WINDOW_BYTES (1 << 20)
+/* A packet of an earlier flow of the same port is not later than this. */
+#define LATE_PACKET_NS (2 * NS_PER_S)
+
 static bool is_repeat(const struct cached_flow *flow,
 		      const struct packet_facts *facts)
 {
@@ -94,6 +101,22 @@
 	steering->options.find_token(steering->options.context, packet->token);
 }
 
+/*
+ * A caller may use its port again at once. A late packet of the flow before goes
+ * to the host of that flow, but tells nothing of this one, nor that its host
+ * still lives.
+ */
+static bool is_late_packet(const struct cached_flow *flow,
+			   const struct known_host *host,
+			   const struct packet_facts *facts, int64_t now_ns)
+{
+	int32_t distance = (int32_t)(facts->tcp_sequence - flow->sequence);
+
+	return flow->host && flow->host != host &&
+	       now_ns - flow->last_packet_ns < LATE_PACKET_NS &&
+	       llabs((int64_t)distance) > FLOW_WINDOW_BYTES;
+}
+
 void open_flow_handle(struct steering *steering,
 		      const struct token_packet *packet,
 		      struct cached_flow *flow, int64_t now_ns,
@@ -110,6 +133,11 @@
 		unknown_handle(steering, packet, decision);
 		return;
 	}
+	if (flow && is_late_packet(flow, host, &packet->facts, now_ns)) {
+		steering_decide(decision, STEERING_FORWARD, STEERING_TOKEN,
+				host);
+		return;
+	}
 	flow = open_flow_enter(steering, packet, flow, host, now_ns);
 	before_ns = flow->last_packet_ns;
 	flow_cache_touch(steering->flows, flow, now_ns);
--- a/tests/steering/test_steering.c
+++ b/tests/steering/test_steering.c
@@ -210,6 +210,49 @@
 }
 END_TEST
 
+/*
+ * A caller uses its port again, and a late packet of its earlier flow comes, to
+ * another host that has fallen silent: it must neither reset the new flow nor
+ * show that the silent host lives.
+ */
+START_TEST(late_packet_of_an_earlier_flow_moves_nothing) {
+	struct known_host *host = flow_open(&fixture, 1000);
+	uint16_t other_port = 1001;
+	struct known_host *old;
+	struct steering_decision decision;
+
+	do
+		old = flow_open(&fixture, other_port++);
+	while (old == host);
+	fixture_advance(&fixture, 100);
+	/* The packet of a flow from the same port, far from its sequence. */
+	decision = packet_data(&fixture, 1000, old->token, 0x70000000, 0x1234);
+	ck_assert_int_eq(decision.verdict, STEERING_FORWARD);
+	ck_assert_ptr_eq(decision.host, old);
+	ck_assert_int_lt(old->evidence.progress_ns, fixture.clock.now_ns);
+	packet_data_repeat(&fixture, (uint16_t)(other_port - 1), old->token, 3);
+	ck_assert(evidence_is_silent(&old->evidence));
+	for (uint32_t i = 0; i < fixture.reset_count; i++)
+		ck_assert_uint_ne(fixture.resets[i].caller_port, 1000);
+	decision = packet_data(&fixture, 1000, host->token, 1101, 1000);
+	ck_assert_int_eq(decision.verdict, STEERING_FORWARD);
+	ck_assert_ptr_eq(decision.host, host);
+}
+END_TEST
+
+/* The first packets of the next flow of a port come through another balancer. */
+START_TEST(next_flow_of_a_port_is_taken_over) {
+	struct known_host *host = flow_open(&fixture, 1000);
+	struct known_host *next =
+		fixture_host(&fixture, host->published.number == 1 ? 2 : 1);
+
+	fixture_advance(&fixture, 3000);
+	packet_data(&fixture, 1000, next->token, 0x70000000, 0x1234);
+	ck_assert_uint_eq(host->open_flows, 0);
+	ck_assert_uint_eq(next->open_flows, 1);
+}
+END_TEST
+
 START_TEST(older_routes_are_ignored) {
 	ck_assert(fixture_route(&fixture, 5, false));
 	ck_assert(!fixture_route(&fixture, 4, true));
@@ -311,6 +354,8 @@
 	tcase_add_test(cases, uninformed_balancer_ends_no_flow);
 	tcase_add_test(cases, reused_address_gets_no_packet_of_the_old_host);
 	tcase_add_test(cases, restart_under_the_same_id_ends_the_flows);
+	tcase_add_test(cases, late_packet_of_an_earlier_flow_moves_nothing);
+	tcase_add_test(cases, next_flow_of_a_port_is_taken_over);
 	tcase_add_test(cases, older_routes_are_ignored);
 	tcase_add_test(cases, dropped_route_ends_its_flows);
 	tcase_add_test(cases, flow_without_a_host_is_refused_at_once);
