Explore sharing under random faults; keep ended hosts from coming back

Operators told of servers that had left and were in use again after a restart. The store's listing ended at revision 47, without a host that had just left; a page of the member's listing, of revision 46, came before the next tick and brought the host back. As all changes up to 47 counted as known, its removal was never told again.

Change: news of an unknown host, published before a complete listing that did not hold it, are ignored; a newer listing may still bring it. A host that another balancer names for a token is added as ended in that case.

Tests: older_listing_brings_no_ended_host_back, explorer.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 FUZZ_TARGETS := $(addprefix fuzz/fuzz-,platform settings sharing-message)
 WARNINGS := --warnlevel 2 --werror
 
-.PHONY: all deps check lint format scenario soak report fuzz clean
+.PHONY: all deps check lint format explore scenario soak report fuzz clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -43,6 +43,10 @@
 	$(BUILD)/standins/parsleyladder-soak $(BUILD)/parsleyladder/parsleyladder \
 		--seeds $(SEEDS) --seconds $(SECONDS)
 
+# make explore SEEDS=1-5000: random faults on a manual clock.
+explore: all
+	EXPLORE_SEEDS=$(SEEDS) $(BUILD)/tests/sharing/test-sharing-explore
+
 # All scenarios, or the one given as FILE; fails if one of them fails.
 scenario: all
 	@failed=0; for file in $(or $(FILE),scenarios/*.scenario); do \
--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -65,12 +65,19 @@
 void host_table_destroy(struct host_table *table);
 
 /**
- * Takes over what is published; an older revision than the known one is
- * ignored.
+ * Takes over what is published. Ignored are older revisions than the known one,
+ * and unknown hosts that were published before a complete listing without them.
  */
 void host_table_put(struct host_table *table,
 		    const struct host_announcement *announcement,
 		    int64_t now_ns);
+/**
+ * Adds an unknown host that open flows may still reach. It has ended if
+ * @gone_revision is not 0, or if a complete listing did not hold it.
+ */
+void host_table_recall(struct host_table *table,
+		       const struct host_announcement *announcement,
+		       uint64_t gone_revision, int64_t now_ns);
 /** The host was no longer published at @revision. */
 void host_table_remove(struct host_table *table, const char *id,
 		       uint64_t revision, int64_t now_ns);
--- a/sharing/sharing_find.c
+++ b/sharing/sharing_find.c
@@ -51,8 +51,5 @@
 		return;
 	sharing->counters[SHARING_FOUNDS]++;
 	sharing->options.knowledge->source = "peer";
-	host_table_put(table, &news->host, now_ns);
-	if (message->revision > 0)
-		host_table_remove(table, news->host.id, message->revision,
-				  now_ns);
+	host_table_recall(table, &news->host, message->revision, now_ns);
 }
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -18,6 +18,7 @@
 	GTree *sorted; /* by id */
 	uint64_t floor; /* see host_table_floor() */
 	uint64_t newest; /* see host_table_newest() */
+	uint64_t listed; /* newest revision of a complete listing */
 	uint64_t generation; /* see host_table_generation() */
 	uint32_t present_count;
 };
@@ -120,9 +121,9 @@
 	host->warm_ns = now_ns + announcement->slow_start_ms * NS_PER_MS;
 }
 
-void host_table_put(struct host_table *table,
-		    const struct host_announcement *announcement,
-		    int64_t now_ns)
+static void host_put(struct host_table *table,
+		     const struct host_announcement *announcement,
+		     int64_t now_ns)
 {
 	struct known_host *host = host_table_find(table, announcement->id);
 	bool is_new = !host || host->is_gone;
@@ -156,6 +157,25 @@
 	table->options.on_changed(table->options.context, host, is_new);
 }
 
+/*
+ * A host that was published before a complete listing and is not known had
+ * ended by then: older news of it come late.
+ */
+static bool has_ended_before(const struct host_table *table,
+			     const struct host_announcement *announcement)
+{
+	return announcement->revision <= table->listed &&
+	       !g_hash_table_contains(table->by_id, announcement->id);
+}
+
+void host_table_put(struct host_table *table,
+		    const struct host_announcement *announcement,
+		    int64_t now_ns)
+{
+	if (!has_ended_before(table, announcement))
+		host_put(table, announcement, now_ns);
+}
+
 static void host_end(struct host_table *table, struct known_host *host,
 		     uint64_t revision, int64_t now_ns)
 {
@@ -178,6 +198,21 @@
 	host_end(table, host, revision, now_ns);
 }
 
+void host_table_recall(struct host_table *table,
+		       const struct host_announcement *announcement,
+		       uint64_t gone_revision, int64_t now_ns)
+{
+	bool has_ended = gone_revision > 0 ||
+			 has_ended_before(table, announcement);
+
+	if (g_hash_table_contains(table->by_id, announcement->id))
+		return;
+	host_put(table, announcement, now_ns);
+	if (has_ended)
+		host_table_remove(table, announcement->id,
+				  MAX(gone_revision, table->listed), now_ns);
+}
+
 struct host_listing *host_listing_create(uint64_t revision)
 {
 	struct host_listing *listing = g_new0(struct host_listing, 1);
@@ -205,9 +240,15 @@
 		      const struct host_announcement *announcement,
 		      int64_t now_ns)
 {
-	if (listing)
-		g_hash_table_add(listing->ids, g_strdup(announcement->id));
-	host_table_put(table, announcement, now_ns);
+	if (!listing) {
+		host_table_put(table, announcement, now_ns);
+		return;
+	}
+	g_hash_table_add(listing->ids, g_strdup(announcement->id));
+	/* A newer listing may hold what an earlier one missed. */
+	if (listing->revision >= table->listed ||
+	    !has_ended_before(table, announcement))
+		host_put(table, announcement, now_ns);
 }
 
 void host_listing_finish(const struct host_listing *listing,
@@ -225,6 +266,7 @@
 		    !g_hash_table_contains(listing->ids, host->published.id))
 			host_end(table, host, listing->revision, now_ns);
 	}
+	table->listed = MAX(table->listed, listing->revision);
 	if (table->floor == 0)
 		table->floor = listing->revision;
 }
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -18,26 +18,58 @@
 	GByteArray *data;
 };
 
+static int due_compare(gconstpointer left, gconstpointer right, gpointer data)
+{
+	const struct flying *a = left;
+	const struct flying *b = right;
+
+	(void)data;
+	return a->due_ns < b->due_ns ? -1 : a->due_ns > b->due_ns;
+}
+
+static bool is_drawn(struct network *network, uint32_t permille)
+{
+	return (uint32_t)g_rand_int_range(network->random, 0, 1000) < permille;
+}
+
+static void packet_fly(struct node *node, uint32_t address, const uint8_t *data,
+		       size_t length)
+{
+	struct network *network = node->network;
+	struct flying *flying = g_new0(struct flying, 1);
+
+	flying->source = node->address;
+	flying->target = address;
+	flying->due_ns = network->clock.now_ns + DELAY_NS;
+	if (network->jitter_ms > 0)
+		flying->due_ns +=
+			g_rand_int_range(network->random, 0,
+					 (gint32)network->jitter_ms * 1000) *
+			NS_PER_US;
+	flying->data = g_byte_array_new();
+	g_byte_array_append(flying->data, data, (guint)length);
+	/* Without jitter, packets come in the order in which they are sent. */
+	if (network->jitter_ms > 0)
+		g_queue_insert_sorted(&network->packets, flying, due_compare,
+				      NULL);
+	else
+		g_queue_push_tail(&network->packets, flying);
+}
+
 static void packet_send(void *context, uint32_t address, const uint8_t *data,
 			size_t length)
 {
 	struct node *node = context;
 	struct network *network = node->network;
-	struct flying *flying;
 
 	ck_assert_uint_le(length, SHARING_DATAGRAM_BYTES + 500);
 	node->bytes_sent += length;
-	if (node->is_down ||
-	    (uint32_t)g_rand_int_range(network->random, 0, 1000) <
-		    network->loss_permille)
+	if (node->is_down || is_drawn(network, network->loss_permille))
 		return;
-	flying = g_new0(struct flying, 1);
-	flying->source = node->address;
-	flying->target = address;
-	flying->due_ns = network->clock.now_ns + DELAY_NS;
-	flying->data = g_byte_array_new();
-	g_byte_array_append(flying->data, data, (guint)length);
-	g_queue_push_tail(&network->packets, flying);
+	packet_fly(node, address, data, length);
+	if (network->duplicate_permille > 0 &&
+	    is_drawn(network, network->duplicate_permille))
+		packet_fly(node, address, data, length);
 }
 
 static void routing_take(void *context, struct routing *routing)
@@ -123,6 +155,7 @@
 	};
 
 	node->zone = zone;
+	node->starts++;
 	memset(&node->knowledge, 0, sizeof(node->knowledge));
 	node->steering = steering_create(&steering_options);
 	options.steering = node->steering;
@@ -161,7 +194,7 @@
 	struct node *node = &network->nodes[index];
 
 	node_stop(node);
-	node_start(network, node, "a");
+	node_start(network, node, node->zone);
 }
 
 void network_restart_all(struct network *network, uint32_t zones,
@@ -225,7 +258,10 @@
 
 		g_queue_pop_head(&network->packets);
 		if (index < network->node_count &&
-		    !network->nodes[index].is_down)
+		    !network->nodes[index].is_down &&
+		    network->nodes[index].partition ==
+			    network->nodes[flying->source - FIRST_ADDRESS]
+				    .partition)
 			sharing_handle_datagram(
 				network->nodes[index].sharing, flying->source,
 				flying->data->data, flying->data->len);
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -16,11 +16,13 @@
 	struct network *network;
 	uint32_t address;
 	const char *zone;
+	uint32_t starts; /* processes so far */
 	struct steering *steering;
 	struct sharing *sharing;
 	struct knowledge knowledge;
 	bool is_reading;
 	bool is_down; /* takes and sends nothing */
+	uint32_t partition; /* reaches only nodes of the same one */
 	bool is_refused; /* the store does not answer it */
 	int64_t asked_ns; /* of the store */
 	int64_t listed_ns; /* when the store has sent its listing; 0 for none */
@@ -47,6 +49,8 @@
 	GQueue packets; /* on their way */
 	GRand *random;
 	uint32_t loss_permille;
+	uint32_t duplicate_permille;
+	uint32_t jitter_ms; /* of the delay of each packet */
 };
 
 /** Nodes in @zones zones in turn; all know the first three as seeds. */
--- /dev/null
+++ b/tests/sharing/test_explore.c
@@ -0,0 +1,293 @@
+/*
+ * Random series of faults on a manual clock. Guards against news that are lost,
+ * go back or never come, whatever fails together: losses, reordered and doubled
+ * datagrams, cuts, restarts, pauses, and a store that is away or refuses.
+ * EXPLORE_SEEDS=FIRST-LAST sets the seeds.
+ */
+
+#include <check.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "network.h"
+#include "suite.h"
+
+#define ZONES 3
+#define NODES_MIN 3
+#define NODES_EXPLORED_MAX 24
+#define HOSTS 40
+#define ROUTES 60
+#define FAULT_MS 15000
+#define STEP_MS 50
+/* Two lost polls, a reader that is passed over, and a listing. */
+#define SETTLE_MS 8000
+/* A member that failed several times is avoided for 12 s. */
+#define ONE_READER_MS 14000
+#define SEED_FIRST 1
+#define SEED_LAST 40
+/* Seeds that failed once: an older listing brought an ended host back. */
+#define SEED_REGRESSION 199
+#define HOSTS_NUMBERED 512
+
+enum action {
+	ACTION_RESTART,
+	ACTION_RESTART_ALL,
+	ACTION_DOWN,
+	ACTION_UP,
+	ACTION_PAUSE_END,
+	ACTION_REFUSE,
+	ACTION_ADMIT,
+	ACTION_STORE_AWAY,
+	ACTION_STORE_BACK,
+	ACTION_CUT_ZONE,
+	ACTION_HEAL,
+	ACTION_PUBLISH,
+	ACTION_DRAIN,
+	ACTION_WITHDRAW,
+	ACTION_ROUTES,
+	ACTION_LOSS,
+	ACTIONS,
+};
+
+/* What a process has known, so that a step back shows. */
+struct memory {
+	uint64_t version;
+	uint64_t gone[HOSTS_NUMBERED]; /* revision at which it ended */
+	uint32_t starts; /* names the process */
+};
+
+static struct network network;
+static struct memory memories[NODES_EXPLORED_MAX];
+static GRand *draws;
+static uint32_t next_host;
+static uint64_t next_version;
+
+static uint32_t draw(uint32_t below)
+{
+	return (uint32_t)g_rand_int_range(draws, 0, (gint32)below);
+}
+
+static void zone_partition(uint32_t zone, uint32_t partition)
+{
+	for (uint32_t i = zone; i < network.node_count; i += ZONES)
+		network.nodes[i].partition = partition;
+}
+
+static void fault_act(enum action action)
+{
+	uint32_t index = draw(network.node_count);
+	struct node *node = &network.nodes[index];
+
+	switch (action) {
+	case ACTION_RESTART:
+		network_restart(&network, index);
+		break;
+	case ACTION_RESTART_ALL:
+		for (uint32_t i = 0; i < network.node_count; i++)
+			network_restart(&network, i);
+		break;
+	case ACTION_DOWN:
+		node->is_down = true;
+		break;
+	case ACTION_UP:
+		node->is_down = false;
+		break;
+	case ACTION_PAUSE_END:
+		if (node->is_down)
+			sharing_wake(node->sharing);
+		node->is_down = false;
+		break;
+	case ACTION_REFUSE:
+		node->is_refused = true;
+		break;
+	case ACTION_ADMIT:
+		node->is_refused = false;
+		break;
+	case ACTION_STORE_AWAY:
+		network.is_store_down = true;
+		break;
+	case ACTION_STORE_BACK:
+		network.is_store_down = false;
+		break;
+	case ACTION_CUT_ZONE:
+		zone_partition(index % ZONES, 1 + index % ZONES);
+		break;
+	case ACTION_HEAL:
+		zone_partition(index % ZONES, 0);
+		break;
+	case ACTION_PUBLISH:
+		if (next_host < HOSTS_NUMBERED)
+			network_publish_host(&network, next_host++, false);
+		break;
+	case ACTION_DRAIN:
+	case ACTION_WITHDRAW:
+		if (network.hosts->len == 0)
+			break;
+		index = (uint32_t)((struct host_announcement *)g_ptr_array_index(
+					   network.hosts,
+					   draw(network.hosts->len)))
+				->number;
+		if (action == ACTION_DRAIN)
+			network_publish_host(&network, index, true);
+		else
+			network_withdraw_host(&network, index);
+		break;
+	case ACTION_ROUTES:
+		network_publish_routes(&network, next_version++,
+				       1 + draw(ROUTES));
+		break;
+	case ACTION_LOSS:
+		network.loss_permille = draw(2) ? draw(60) : 0;
+		network.duplicate_permille = draw(2) ? draw(60) : 0;
+		break;
+	case ACTIONS:
+		break;
+	}
+}
+
+static void host_check(uint32_t seed, struct memory *memory,
+		       const struct known_host *host)
+{
+	uint64_t number = host->published.number;
+
+	if (host->is_gone) {
+		memory->gone[number] =
+			MAX(memory->gone[number], host->gone_revision);
+		return;
+	}
+	ck_assert_msg(memory->gone[number] < host->published.revision ||
+			      memory->gone[number] == 0,
+		      "seed %u: host %" PRIu64 " is used again", seed, number);
+}
+
+static void node_check(uint32_t seed, struct memory *memory,
+		       const struct node *node)
+{
+	const struct routing *routing = steering_routing(node->steering);
+	GHashTableIter iterator;
+	gpointer value;
+
+	if (memory->starts != node->starts) {
+		memset(memory, 0, sizeof(*memory));
+		memory->starts = node->starts;
+	}
+	if (routing) {
+		ck_assert_msg(routing->version >= memory->version,
+			      "seed %u: routes went back", seed);
+		memory->version = routing->version;
+	}
+	g_hash_table_iter_init(&iterator,
+			       host_table_all(steering_hosts(node->steering)));
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		host_check(seed, memory, value);
+}
+
+static void steps_run(uint32_t seed, uint32_t ms)
+{
+	for (uint32_t i = 0; i < ms; i += STEP_MS) {
+		network_run(&network, STEP_MS);
+		for (uint32_t j = 0; j < network.node_count; j++)
+			node_check(seed, &memories[j], &network.nodes[j]);
+	}
+}
+
+static void faults_end(void)
+{
+	network.is_store_down = false;
+	network.loss_permille = 0;
+	network.duplicate_permille = 0;
+	for (uint32_t i = 0; i < network.node_count; i++) {
+		network.nodes[i].partition = 0;
+		network.nodes[i].is_refused = false;
+		if (network.nodes[i].is_down)
+			sharing_wake(network.nodes[i].sharing);
+		network.nodes[i].is_down = false;
+	}
+}
+
+static void settled_check(uint32_t seed)
+{
+	uint32_t informed =
+		network_informed_count(&network, network.store_revision);
+
+	ck_assert_msg(informed == network.node_count,
+		      "seed %u: %u of %u nodes are informed", seed, informed,
+		      network.node_count);
+	for (uint32_t i = 0; i < network.node_count; i++) {
+		uint32_t known = host_table_count(
+			steering_hosts(network.nodes[i].steering));
+
+		ck_assert_msg(known == network.hosts->len,
+			      "seed %u: node %u knows %u of %u hosts", seed, i,
+			      known, network.hosts->len);
+	}
+}
+
+static void seed_explore(uint32_t seed)
+{
+	draws = g_rand_new_with_seed(seed);
+	memset(memories, 0, sizeof(memories));
+	next_host = HOSTS + 1;
+	next_version = 2;
+	network_open(&network,
+		     NODES_MIN + draw(NODES_EXPLORED_MAX - NODES_MIN + 1),
+		     ZONES);
+	network.jitter_ms = draw(3) * 4;
+	network.listing_ms = draw(2) * 20;
+	for (uint32_t i = 1; i <= HOSTS; i++)
+		network_publish_host(&network, i, false);
+	network_publish_routes(&network, 1, ROUTES);
+	for (uint32_t ms = 0; ms < FAULT_MS;) {
+		uint32_t pause_ms = STEP_MS * (1 + draw(16));
+
+		steps_run(seed, pause_ms);
+		fault_act(draw(ACTIONS));
+		ms += pause_ms;
+	}
+	faults_end();
+	steps_run(seed, SETTLE_MS);
+	settled_check(seed);
+	steps_run(seed, ONE_READER_MS - SETTLE_MS);
+	ck_assert_msg(network_reader_count(&network) == ZONES,
+		      "seed %u: %u readers", seed,
+		      network_reader_count(&network));
+	network_close(&network);
+	g_rand_free(draws);
+}
+
+static void seeds_read(uint32_t *first, uint32_t *last)
+{
+	const char *text = getenv("EXPLORE_SEEDS");
+
+	*first = SEED_FIRST;
+	*last = SEED_LAST;
+	if (!text)
+		return;
+	*first = *last = (uint32_t)strtoul(text, NULL, 10);
+	if (strchr(text, '-'))
+		*last = (uint32_t)strtoul(strchr(text, '-') + 1, NULL, 10);
+}
+
+START_TEST(faults_lose_no_news) {
+	uint32_t first;
+	uint32_t last;
+
+	seeds_read(&first, &last);
+	for (uint32_t seed = first; seed <= last; seed++)
+		seed_explore(seed);
+	seed_explore(SEED_REGRESSION);
+	printf("figure explored_seeds %u seeds\n", last - first + 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("explore");
+	TCase *cases = tcase_create("explore");
+
+	tcase_set_timeout(cases, 3600);
+	tcase_add_test(cases, faults_lose_no_news);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- a/tests/steering/test_host_table.c
+++ b/tests/steering/test_host_table.c
@@ -127,6 +127,38 @@
 }
 END_TEST
 
+/*
+ * A balancer that starts lists from the store and from a member. A page of the
+ * member that comes after the store's newer listing must not bring a host back
+ * that has ended since (explorer, seed 199).
+ */
+START_TEST(older_listing_brings_no_ended_host_back) {
+	struct host_table *table = steering_hosts(fixture.steering);
+	struct host_announcement ended = fixture_announcement(&fixture, 1, "a");
+	struct host_announcement kept = fixture_announcement(&fixture, 2, "a");
+	struct host_listing *older = host_listing_create(fixture.revision);
+	struct host_listing *newer = host_listing_create(fixture.revision + 5);
+
+	listing_put(newer, &kept);
+	listing_finish(newer);
+	listing_put(older, &ended);
+	listing_put(older, &kept);
+	listing_finish(older);
+	ck_assert_ptr_null(fixture_host(&fixture, 1));
+	fixture_put(&fixture, &ended);
+	ck_assert_ptr_null(fixture_host(&fixture, 1));
+	ck_assert_uint_eq(host_table_count(table), 1);
+	/* A member still knows it: open flows may reach it, new ones do not. */
+	host_table_recall(table, &ended, 0, fixture.clock.now_ns);
+	ck_assert(fixture_host(&fixture, 1)->is_gone);
+	ck_assert_uint_eq(host_table_count(table), 1);
+	/* A newer listing may hold what an earlier one missed. */
+	ended.revision += 20;
+	fixture_put(&fixture, &ended);
+	ck_assert(!fixture_host(&fixture, 1)->is_gone);
+}
+END_TEST
+
 START_TEST(ended_host_is_forgotten_after_its_flows) {
 	struct host_table *table = steering_hosts(fixture.steering);
 
@@ -187,6 +219,7 @@
 	tcase_add_test(cases, overlapping_listings_both_count);
 	tcase_add_test(cases, hosts_are_walked_in_order);
 	tcase_add_test(cases, older_news_change_nothing);
+	tcase_add_test(cases, older_listing_brings_no_ended_host_back);
 	tcase_add_test(cases, ended_host_is_forgotten_after_its_flows);
 	tcase_add_loop_test(cases, zone_hands_over_what_it_lacks, 0, 4);
 	suite_add_tcase(suite, cases);
