Tell the open flows of up to 192 hosts of a zone

Cause: a message had room for 64 counts, the large deployment has 120 hosts in a zone: every balancer took about half of them for idle, and preferred them.

Change: 192 counts, in messages that name no hosts (changes are pushed as they come). 192 counts are 1,152 bytes, twice a second to and from the reader.

Test: open_flows_of_all_hosts_of_a_zone_are_known (150 hosts; 64 before).

--- a/include/sharing/sharing_message.h
+++ b/include/sharing/sharing_message.h
@@ -19,8 +19,8 @@
 #define SHARING_DATAGRAM_BYTES 1400
 /** Bytes of routes in one message. */
 #define ROUTES_CHUNK_BYTES 1000
-/** Open flows of hosts in one message. */
-#define HOST_LOADS_MAX 64
+/** Open flows of hosts in one message, which then names no other hosts. */
+#define HOST_LOADS_MAX 192
 
 enum sharing_kind {
 	SHARING_GREET = 1, /* names members and asks for some */
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -197,8 +197,8 @@
 		hosts_fill(sharing, message->revision, message->is_listing,
 			   message->cursor, now_ns, &news);
 	}
-	/* Pages leave no room for loads, which are of no use before the last. */
-	if (!message->is_listing && message->chunk == 0)
+	/* Routes and hosts leave no room for the loads. */
+	if (message->chunk == 0 && (!news.hosts || news.hosts->len == 0))
 		news.load_count = serve_loads_fill(sharing, true, news.loads);
 	news_send(sharing, address, &news, now_ns);
 }
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -311,6 +311,33 @@
 }
 END_TEST
 
+/* With 64 counts a message, balancers took the other hosts for idle. */
+START_TEST(open_flows_of_all_hosts_of_a_zone_are_known) {
+	for (uint32_t i = 0; i < NODES; i += ZONES)
+		for (uint32_t j = 1; j <= HOSTS; j++) {
+			char id[HOST_ID_BYTES_MAX + 1];
+
+			g_snprintf(id, sizeof(id), "i-%04x", j);
+			host_table_find(
+				steering_hosts(network.nodes[i].steering), id)
+				->open_flows = 1;
+		}
+	network_run(&network, 1500);
+	for (uint32_t i = 0; i < NODES; i += ZONES) {
+		GHashTableIter iterator;
+		gpointer value;
+
+		g_hash_table_iter_init(&iterator,
+				       host_table_all(steering_hosts(
+					       network.nodes[i].steering)));
+		while (g_hash_table_iter_next(&iterator, NULL, &value))
+			ck_assert_uint_eq(
+				((struct known_host *)value)->peer_flows,
+				NODES / ZONES - 1);
+	}
+}
+END_TEST
+
 /* Operators compare the leader with the addresses of instances. */
 START_TEST(leader_is_printed_as_an_address) {
 	JsonBuilder *builder = json_builder_new();
@@ -409,6 +436,7 @@
 	tcase_add_test(cases, restarted_reader_is_not_asked_for_listings);
 	tcase_add_test(cases, lost_datagrams_lose_no_news);
 	tcase_add_test(cases, open_flows_are_added_up);
+	tcase_add_test(cases, open_flows_of_all_hosts_of_a_zone_are_known);
 	tcase_add_test(cases, leader_is_printed_as_an_address);
 	tcase_add_test(cases, strange_datagrams_change_nothing);
 	suite_add_tcase(suite, cases);
