--- a/sharing/sharing_greet.c
+++ b/sharing/sharing_greet.c
@@ -109,7 +109,7 @@
 		members_hear(sharing->members, &message->members[i], now_ns);
 	members_tell_age(sharing->members, address, message->news_age_ms,
 			 now_ns);
-	follow_hear_age(sharing, address, message->news_age_ms, now_ns);
+	listing_hear_age(sharing, address, message->news_age_ms, now_ns);
 	if (sharing->greeted_ns == 0)
 		sharing->greeted_ns = now_ns;
 	if (message->kind == SHARING_GREET)
--- a/sharing/sharing_read.c
+++ b/sharing/sharing_read.c
@@ -82,7 +82,7 @@
 
 	if (waited_ns >= START_WAIT_MAX_NS)
 		reading_set(sharing, true, "starts_late");
-	else if (follow_is_helped(sharing, now_ns))
+	else if (listing_is_helped(sharing, now_ns))
 		reading_set(sharing, false, "lists_from_member");
 	else if (waited_ns >= start_wait_ns(sharing))
 		reading_set(sharing, true, "starts");
--- /dev/null
+++ b/sharing/sharing_routes.c
@@ -0,0 +1,52 @@
+#include "sharing_state.h"
+
+#include "sharing/routing_codec.h"
+
+void routes_drop(struct sharing *sharing)
+{
+	sharing->incoming_version = 0;
+	g_byte_array_set_size(sharing->incoming, 0);
+}
+
+static void routes_finish(struct sharing *sharing)
+{
+	struct routing *routing =
+		routing_decode(sharing->incoming->data, sharing->incoming->len,
+			       steering_routing(sharing->options.steering));
+	bool is_expected = routing &&
+			   routing->version == sharing->incoming_version;
+
+	routes_drop(sharing);
+	sharing->needs_all_routes = !is_expected;
+	if (is_expected)
+		sharing->options.on_routing(sharing->options.context, routing);
+	else
+		sharing->counters[SHARING_MALFORMED]++;
+	routing_unref(routing);
+}
+
+bool routes_take(struct sharing *sharing, const struct sharing_message *news)
+{
+	const struct routing *routing =
+		steering_routing(sharing->options.steering);
+
+	if (news->version != sharing->incoming_version)
+		routes_drop(sharing);
+	if (news->version <= (routing ? routing->version : 0))
+		return false;
+	if (sharing->incoming_version == 0) {
+		sharing->incoming_version = news->version;
+		sharing->incoming_next = 1;
+		return true;
+	}
+	if (news->chunk != sharing->incoming_next)
+		return false;
+	g_byte_array_append(sharing->incoming, news->chunk_data,
+			    (guint)news->chunk_bytes);
+	sharing->incoming_next++;
+	if (sharing->incoming_next <= news->chunk_count &&
+	    sharing->incoming->len < ROUTING_BYTES_MAX)
+		return true;
+	routes_finish(sharing);
+	return false;
+}
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -4,8 +4,8 @@
 /**
  * State of the sharing of news, and its layers: sharing.c takes datagrams and
  * ticks and calls sharing_greet.c, sharing_read.c, sharing_find.c or
- * sharing_serve.c; greetings call sharing_follow.c, and all of these call
- * sharing_send.c. None calls back.
+ * sharing_serve.c; greetings and sharing_follow.c call sharing_listing.c, and all
+ * of these call sharing_routes.c and sharing_send.c. None calls back.
  */
 
 #include "common/token_bucket.h"
@@ -131,15 +131,33 @@
 /* Deciding whether to read the store: sharing_read.c. */
 void read_tick(struct sharing *sharing, int64_t now_ns);
 
+/* Routes that come chunk by chunk: sharing_routes.c. */
+void routes_drop(struct sharing *sharing);
+/** Returns whether a further chunk is wanted at once. */
+bool routes_take(struct sharing *sharing, const struct sharing_message *news);
+
+/* The first listing, and members asked beside a leader: sharing_listing.c. */
+/** Asks for news, for the next page of a listing or the next chunk of routes. */
+void poll_send(struct sharing *sharing, uint32_t address);
+void listing_tick(struct sharing *sharing, int64_t now_ns);
+/** Another member than the leader is asked. */
+bool listing_is_helped(const struct sharing *sharing, int64_t now_ns);
+/** A member told how old its news are; newer ones are asked for. */
+void listing_hear_age(struct sharing *sharing, uint32_t address,
+		      uint32_t news_age_ms, int64_t now_ns);
+/** Returns whether another page is wanted. */
+bool listing_take(struct sharing *sharing, uint32_t address,
+		  const struct sharing_message *news, int64_t now_ns);
+void helper_poll(struct sharing *sharing, int64_t now_ns);
+/** The helper answered; it is kept while the first listing comes from it. */
+void helper_note(struct sharing *sharing, int64_t now_ns);
+/** The helper is silent, busy or knows nothing itself. */
+void helper_replace(struct sharing *sharing, int64_t now_ns);
+
 /* Following: sharing_follow.c. */
 void follow_set_leader(struct sharing *sharing, uint32_t leader,
 		       const char *reason);
 void follow_tick(struct sharing *sharing, int64_t now_ns);
-/** Another member than the leader is asked. */
-bool follow_is_helped(const struct sharing *sharing, int64_t now_ns);
-/** A member told how old its news are; newer ones are asked for. */
-void follow_hear_age(struct sharing *sharing, uint32_t address,
-		     uint32_t news_age_ms, int64_t now_ns);
 void follow_handle_news(struct sharing *sharing, uint32_t address,
 			const struct sharing_message *news, int64_t now_ns);
 
