--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -19,7 +19,6 @@
 	if (address == sharing->listing_source) {
 		poll.is_listing = true;
 		g_strlcpy(poll.cursor, sharing->cursor, sizeof(poll.cursor));
-		sharing->page_asked_ns = clock_now_ns(sharing->options.clock);
 	} else if (sharing->incoming_version != 0) {
 		poll.chunk = sharing->incoming_next;
 	}
@@ -59,12 +58,10 @@
 	g_clear_pointer(&sharing->listing, host_listing_destroy);
 }
 
-static void listing_begin(struct sharing *sharing, uint32_t source,
-			  int64_t now_ns)
+static void listing_begin(struct sharing *sharing, uint32_t source)
 {
 	listing_drop(sharing);
 	sharing->listing_source = source;
-	sharing->page_asked_ns = now_ns;
 	sharing->counters[SHARING_LISTINGS]++;
 }
 
@@ -85,7 +82,7 @@
 	if (drawn == 0)
 		return;
 	if (!sharing->options.knowledge->is_complete)
-		listing_begin(sharing, drawn, now_ns);
+		listing_begin(sharing, drawn);
 	helper_set(sharing, drawn, now_ns);
 }
 
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -81,7 +81,6 @@
 	int64_t next_helper_poll_ns;
 	/* All pages of the listing come from it; 0 if none is under way. */
 	uint32_t listing_source;
-	int64_t page_asked_ns;
 	bool awaits_routes; /* the source has routes that are not known here */
 	struct host_listing *listing; /* NULL before its first page */
 	char cursor[HOST_ID_BYTES_MAX + 1];
