Give the store's test time for stalls of its own process

The stand-in answers in the loop of the test, with a timeout of 200 ms.

Change: the test's timeout is 1 s, and the cases wait for as much longer; all assertions stay.

Ruled out: the two stages of a listing (no failure without a stall).

--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -12,6 +12,12 @@
 #include "platform/store.h"
 #include "suite.h"
 
+/*
+ * The stand-in answers in the same loop. With 200 ms, a stall of the test process
+ * on a busy machine counted as an answer that did not come.
+ */
+#define ANSWER_TIMEOUT_MS 1000
+
 /* What the stand-in answers next. */
 enum behaviour {
 	ANSWER,
@@ -205,7 +211,7 @@
 		.clock = clock_system(),
 		.random_seed = 1,
 		.watch_wait_ms = 50,
-		.answer_timeout_ms = 200,
+		.answer_timeout_ms = ANSWER_TIMEOUT_MS,
 		.batch_ms = 5,
 		.on_listing_begin = begin_ignore,
 		.on_listing_end = end_count,
@@ -324,7 +330,7 @@
 	listings_wait(1);
 	fixture.behaviour = cases[_i].behaviour;
 	fixture.behaviour_count = cases[_i].count;
-	loop_run(1500);
+	loop_run(1300 + ANSWER_TIMEOUT_MS);
 	fixture.watched = 1;
 	loop_run(600);
 	ck_assert(g_hash_table_contains(fixture.seen, "i-ee"));
