Let the soak notice that it was not run

The log of b1 shows packets of six flows 1,198 ms old and no progress of their hosts for 2.0 s; b2 was not run for 1,317 ms. Hosts and callers live in the soak: run for moments only, its callers repeat their packets while its hosts do not answer. Hosts that were not run are disturbed, as the contract has it.

Change: the soak notes when its loop was not run for 0.3 s, half of a silence, and takes hosts and balancers for disturbed then.

Ruled out: a fault of the balancers (reasons and evidence are as designed: three repeated packets, no progress for 600 ms).

--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -23,6 +23,8 @@
 
 /* The bounds of the deployments: what the promises are held to. */
 #define SOAK_CALM_NS (4 * NS_PER_S)
+/** A process that was not run for longer is disturbed; half of a silence. */
+#define SOAK_STALL_NS (300 * NS_PER_MS)
 #define SOAK_DRAIN_NS (3 * NS_PER_S)
 #define SOAK_CONFIG_NS (3 * NS_PER_S)
 
@@ -100,6 +102,7 @@
 	uint64_t version; /* of the routes */
 	bool has_extra_route;
 	int64_t routes_changed_ns;
+	int64_t ticked_ns; /* when the loop last ran */
 	uint64_t next_number;
 	uint64_t next_request;
 	uint64_t requests;
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -115,10 +115,31 @@
 	}
 }
 
+/*
+ * Hosts and callers live in this process: while the machine does not run it, all
+ * hosts are silent, which balancers may take for evidence.
+ */
+static void stall_check(struct soak *soak)
+{
+	int64_t now_ns = soak_now(soak);
+	int64_t gap_ns = now_ns - soak->ticked_ns;
+
+	if (soak->ticked_ns != 0 && gap_ns > SOAK_STALL_NS) {
+		soak_note(soak, "soak did not run for %" PRId64 " ms",
+			  gap_ns / NS_PER_MS);
+		for (uint32_t i = 0; i < soak->host_count; i++)
+			soak->hosts[i].disturbed_ns = now_ns;
+		for (uint32_t i = 0; i < soak->balancer_count; i++)
+			soak->balancers[i].disturbed_ns = now_ns;
+	}
+	soak->ticked_ns = now_ns;
+}
+
 static gboolean on_tick(gpointer data)
 {
 	struct soak *soak = data;
 
+	stall_check(soak);
 	soak_callers_tick(soak);
 	soak_faults_tick(soak);
 	return G_SOURCE_CONTINUE;
