Test that a stall of the balancer is no silence of its hosts

A soak that was not run for seconds raised the question whether a balancer that is not run for less than a pause resets the flows of healthy hosts.

--- a/tests/steering/test_host_watch.c
+++ b/tests/steering/test_host_watch.c
@@ -64,6 +64,26 @@
 }
 END_TEST
 
+/*
+ * The balancer itself was not run for 0.9 s, less than what counts as a pause:
+ * requests and their repeats come in one batch, and no host had them before.
+ */
+START_TEST(stall_of_the_balancer_is_no_silence) {
+	struct known_host *host = fixture_host(&fixture, 1);
+
+	for (uint16_t port = 1; port <= 3; port++) {
+		packet_data(&fixture, port, host->token, 500, 1000);
+		packet_ack(&fixture, port, host->token, 600, 1001);
+	}
+	fixture_advance(&fixture, 900);
+	for (uint16_t port = 1; port <= 3; port++)
+		for (int copy = 0; copy < 3; copy++)
+			packet_data(&fixture, port, host->token, 700, 1001);
+	ck_assert(!evidence_is_silent(&host->evidence));
+	ck_assert_uint_eq(fixture.reset_count, 0);
+}
+END_TEST
+
 START_TEST(host_that_serves_others_is_not_silent) {
 	struct known_host *host = flow_open(&fixture, 1);
 
@@ -344,6 +364,7 @@
 	tcase_add_checked_fixture(cases, hosts_open, hosts_close);
 	tcase_add_test(cases, silent_host_loses_its_flows);
 	tcase_add_test(cases, idle_host_has_time_to_answer);
+	tcase_add_test(cases, stall_of_the_balancer_is_no_silence);
 	tcase_add_test(cases, host_that_serves_others_is_not_silent);
 	tcase_add_test(cases, late_acknowledgement_hides_no_silence);
 	tcase_add_test(cases, full_host_gets_no_new_flow);
