--- a/admin/admin.c
+++ b/admin/admin.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "admin/routes.h"
+#include "http/http_listener.h"
 
 #define BEARER_PREFIX "Bearer "
 
@@ -10,7 +11,7 @@
 	struct admin_options options;
 	char *token; /* NULL for none */
 	SoupServer *server;
-	uint16_t port;
+	struct http_listener *listener;
 };
 
 /*
@@ -87,40 +88,14 @@
 		routes_handle(&admin->options, message, path, query);
 }
 
-static bool server_listen(struct admin *admin, struct error *error)
-{
-	const struct admin_options *options = &admin->options;
-	GSocketAddress *address = g_inet_socket_address_new_from_string(
-		options->address, options->port);
-	GError *cause = NULL;
-	GSList *uris;
-
-	if (!address)
-		return error_set(error, ERROR_SETTINGS,
-				 "'%s' is not an IP address", options->address);
-	if (!soup_server_listen(admin->server, address, 0, &cause)) {
-		error_set(error,
-			  g_error_matches(cause, G_IO_ERROR,
-					  G_IO_ERROR_ADDRESS_IN_USE)
-				  ? ERROR_ADDRESS_IN_USE
-				  : ERROR_IO,
-			  "cannot listen on %s port %u: %s", options->address,
-			  options->port, cause->message);
-		g_error_free(cause);
-		g_object_unref(address);
-		return false;
-	}
-	g_object_unref(address);
-	uris = soup_server_get_uris(admin->server);
-	admin->port = (uint16_t)g_uri_get_port(uris->data);
-	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
-	return true;
-}
-
 struct admin *admin_create(const struct admin_options *options,
 			   struct error *error)
 {
 	struct admin *admin = g_new0(struct admin, 1);
+	struct http_listener_options listener_options = {
+		.address = options->address,
+		.port = options->port,
+	};
 
 	admin->options = *options;
 	if (options->token && options->token[0] != '\0')
@@ -130,7 +105,9 @@
 				      NULL);
 	soup_server_add_handler(admin->server, NULL, request_handle, admin,
 				NULL);
-	if (!server_listen(admin, error)) {
+	listener_options.server = admin->server;
+	admin->listener = http_listener_create(&listener_options, error);
+	if (!admin->listener) {
 		admin_destroy(admin);
 		return NULL;
 	}
@@ -143,7 +120,7 @@
 {
 	if (!admin)
 		return;
-	soup_server_disconnect(admin->server);
+	http_listener_destroy(admin->listener);
 	g_object_unref(admin->server);
 	g_free(admin->token);
 	g_free(admin);
@@ -151,5 +128,10 @@
 
 uint16_t admin_port(const struct admin *admin)
 {
-	return admin->port;
+	return http_listener_port(admin->listener);
+}
+
+uint64_t admin_refused_connections(const struct admin *admin)
+{
+	return http_listener_refused(admin->listener);
 }
--- a/include/admin/admin.h
+++ b/include/admin/admin.h
@@ -50,5 +50,7 @@
 void admin_destroy(struct admin *admin);
 /** Port that the server listens on. */
 uint16_t admin_port(const struct admin *admin);
+/** Connections that were closed because too many were open. */
+uint64_t admin_refused_connections(const struct admin *admin);
 
 #endif
--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -95,6 +95,7 @@
 	uint16_t packet_port;
 	uint16_t readiness_port;
 	uint16_t control_port;
+	uint16_t admin_port;
 	uint16_t sharing_port;
 	uint16_t store_port;
 	uint16_t host_port;
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -22,6 +22,7 @@
 	[TOTAL_STORE_CALLS] = "store_calls",
 	[TOTAL_EVICTIONS] = "evictions",
 	[TOTAL_UNKNOWN_SENDERS] = "strangers",
+	[TOTAL_ADMIN_REFUSED] = "admin_refused_connections",
 };
 
 static void counters_sample(struct balancer *balancer)
@@ -44,6 +45,9 @@
 	totals[TOTAL_LOG_DROPPED_LINES] = log_dropped_lines();
 	totals[TOTAL_STORE_CALLS] = store_request_count(balancer->store);
 	totals[TOTAL_EVICTIONS] = steering_eviction_count(balancer->steering);
+	if (balancer->admin)
+		totals[TOTAL_ADMIN_REFUSED] =
+			admin_refused_connections(balancer->admin);
 }
 
 static void host_print(const struct balancer *balancer,
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -65,6 +65,7 @@
 	TOTAL_STORE_CALLS,
 	TOTAL_EVICTIONS, /* of the flow cache */
 	TOTAL_UNKNOWN_SENDERS, /* datagrams not from the sharing port */
+	TOTAL_ADMIN_REFUSED, /* connections to the administration API */
 	BALANCER_TOTALS,
 };
 
--- a/standins/soak/fleet.c
+++ b/standins/soak/fleet.c
@@ -11,7 +11,10 @@
 /* Limits of one balancer: the smallest instances have 99 MB of memory. */
 #define MEMORY_MAX_PAGES (64 * 1024 / 4)
 #define DESCRIPTORS_MAX 200
-#define PROBE_TIMEOUT_US 50000
+#define REQUEST_TIMEOUT_US 50000
+#define RESPONSE_BYTES_MAX 65536
+/* Requests at each check: a leak of sockets shows within 15 s. */
+#define METRICS_REQUESTS 8
 
 static const char *const zone_names[SOAK_ZONES] = { "a", "b", "c" };
 
@@ -28,6 +31,7 @@
 	char *packets = address_print(balancer->address, soak->packet_port);
 	char *ready = address_print(balancer->address, soak->readiness_port);
 	char *control = address_print(balancer->address, soak->control_port);
+	char *admin = address_print(balancer->address, soak->admin_port);
 	char *store = address_print(soak_store_address(soak) + balancer->index,
 				    soak->store_port);
 	GString *text = g_string_new(NULL);
@@ -38,10 +42,12 @@
 			"{\"instance_id\":\"b%u\",\"availability_zone\":\"%s\","
 			"\"packet_endpoint\":\"%s\","
 			"\"readiness_endpoint\":\"%s\","
-			"\"control_endpoint\":\"%s\",\"store_endpoint\":\"%s\","
+			"\"control_endpoint\":\"%s\","
+			"\"admin_endpoint\":\"%s\","
+			"\"store_endpoint\":\"%s\","
 			"\"sharing_port\":%u,\"seeds\":[",
 			balancer->index, zone_names[balancer->zone], packets,
-			ready, control, store, soak->sharing_port);
+			ready, control, admin, store, soak->sharing_port);
 	for (uint32_t i = 0; i < 3; i++) {
 		uint32_t index = (first + i) % soak->balancer_count;
 		char *seed = address_print(soak->balancers[index].address,
@@ -57,6 +63,7 @@
 	g_free(packets);
 	g_free(ready);
 	g_free(control);
+	g_free(admin);
 	g_free(store);
 }
 
@@ -78,21 +85,18 @@
 	balancer->disturbed_ns = soak_now(balancer->soak);
 }
 
-/*
- * Probes as the fabric does; a frozen or starting balancer does not respond.
- */
-static bool readiness_probe(const struct soak_balancer *balancer)
+/* Sends @request, reads the status, and closes the connection. */
+static bool request_succeeds(const struct soak_balancer *balancer,
+			     uint16_t port, const char *request)
 {
-	static const char request[] = "GET /api/readyz HTTP/1.1\r\nHost: x\r\n"
-				      "Connection: close\r\n\r\n";
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
-		.sin_port = htons(balancer->soak->readiness_port),
+		.sin_port = htons(port),
 		.sin_addr.s_addr = htonl(balancer->address),
 	};
-	struct timeval timeout = { .tv_usec = PROBE_TIMEOUT_US };
+	struct timeval timeout = { .tv_usec = REQUEST_TIMEOUT_US };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	char text[64] = "";
+	char text[RESPONSE_BYTES_MAX] = "";
 	ssize_t got = -1;
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
@@ -104,6 +108,27 @@
 	return got > 12 && strncmp(text + 9, "200", 3) == 0;
 }
 
+/*
+ * Probes as the fabric does; a frozen or starting balancer does not respond.
+ */
+static bool readiness_probe(const struct soak_balancer *balancer)
+{
+	return request_succeeds(balancer, balancer->soak->readiness_port,
+				"GET /api/readyz HTTP/1.1\r\nHost: x\r\n"
+				"Connection: close\r\n\r\n");
+}
+
+/*
+ * Asks as monitoring systems do, which keep connections for reuse and close them
+ * later.
+ */
+static void metrics_request(const struct soak_balancer *balancer)
+{
+	for (int i = 0; i < METRICS_REQUESTS; i++)
+		request_succeeds(balancer, balancer->soak->admin_port,
+				 "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+}
+
 static void resources_check(struct soak_balancer *balancer)
 {
 	int pid = process_id(balancer->process);
@@ -148,6 +173,7 @@
 		    readiness_probe(balancer)) {
 			balancer->is_ready = true;
 			balancer->failed_probes = 0;
+			metrics_request(balancer);
 		} else if (++balancer->failed_probes >= 2) {
 			balancer->is_ready = false;
 		}
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -62,6 +62,7 @@
 	soak->packet_port = free_port_find();
 	soak->readiness_port = free_port_find();
 	soak->control_port = free_port_find();
+	soak->admin_port = free_port_find();
 	soak->sharing_port = free_port_find();
 	soak->store_port = free_port_find();
 	soak->host_port = free_port_find();
