Judge handshakes by those measured instead of by 60 ms

Change: a handshake is overdue when it exceeds the smoothed mean and four deviations (RFC 6298) of this balancer's handshakes, at least twice the mean and 20 ms, at most the 200 ms after which callers send a copy; handshakes with copies are not measured. Metrics and the log of probes show the estimate. The two tests that relied on 60 ms measure handshakes of 30 ms first, or wait for 200 ms. Held packets take their ages from the transport's figures, same values.

--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -19,6 +19,7 @@
 #include "steering/host_table.h"
 #include "steering/policy.h"
 #include "steering/routing.h"
+#include "steering/rtt_estimate.h"
 
 /** Fields of a packet from a caller that a decision needs. */
 struct token_packet {
@@ -136,6 +137,8 @@
 			enum probe_result result);
 /** Expires flows and hosts, starts probes; call it every STEERING_TICK_MS. */
 void steering_tick(struct steering *steering);
+/** Time of the handshakes with which flows opened. */
+const struct rtt_estimate *steering_handshake(const struct steering *steering);
 /** True while several hosts are silent and no host responds. */
 bool steering_is_isolated(const struct steering *steering);
 /** Returns NULL if the flow is not in the cache. */
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -13,6 +13,9 @@
 	[GAUGE_ROUTES_VERSION] = "routes_version",
 	[GAUGE_REVISION] = "revision",
 	[GAUGE_REPLICA_AGE_MS] = "knowledge_age_ms",
+	[GAUGE_HANDSHAKE_US] = "handshake_us",
+	[GAUGE_HANDSHAKE_LIMIT_US] = "handshake_limit_us",
+	[GAUGE_HANDSHAKE_SAMPLES] = "handshake_samples",
 };
 
 static const char *const total_names[BALANCER_TOTALS] = {
@@ -29,6 +32,8 @@
 {
 	const struct routing *routing = steering_routing(balancer->steering);
 	const struct replica_status *replica_status = &balancer->replica_status;
+	const struct rtt_estimate *handshake =
+		steering_handshake(balancer->steering);
 	uint64_t *gauges = balancer->gauges;
 	uint64_t *totals = balancer->totals;
 
@@ -41,6 +46,11 @@
 	gauges[GAUGE_REVISION] = replica_status->revision;
 	gauges[GAUGE_REPLICA_AGE_MS] = (uint64_t)MAX(
 		balancer_age_ms(balancer, replica_status->confirmed_ns), 0);
+	gauges[GAUGE_HANDSHAKE_US] =
+		(uint64_t)(handshake->smoothed_ns / NS_PER_US);
+	gauges[GAUGE_HANDSHAKE_LIMIT_US] =
+		(uint64_t)(rtt_estimate_limit_ns(handshake) / NS_PER_US);
+	gauges[GAUGE_HANDSHAKE_SAMPLES] = handshake->samples;
 	totals[TOTAL_LOG_BYTES] = log_accepted_bytes();
 	totals[TOTAL_LOG_DROPPED_LINES] = log_dropped_lines();
 	totals[TOTAL_STORE_CALLS] = store_request_count(balancer->store);
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -55,6 +55,9 @@
 	GAUGE_ROUTES_VERSION,
 	GAUGE_REVISION,
 	GAUGE_REPLICA_AGE_MS,
+	GAUGE_HANDSHAKE_US, /* smoothed mean of the handshakes of new flows */
+	GAUGE_HANDSHAKE_LIMIT_US, /* longer ones are overdue; 0: not known */
+	GAUGE_HANDSHAKE_SAMPLES,
 	BALANCER_GAUGES,
 };
 
--- a/parsleyladder/balancer_probe.c
+++ b/parsleyladder/balancer_probe.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+
 #include "balancer_private.h"
 #include "common/log.h"
 
@@ -27,11 +29,16 @@
 {
 	struct host_probe *probe = context;
 	struct balancer *balancer = probe->balancer;
+	const struct rtt_estimate *handshake =
+		steering_handshake(balancer->steering);
 
 	balancer->probe_outcome_counts[outcome]++;
 	g_hash_table_remove(balancer->probes, probe);
-	log_event(LOG_LEVEL_INFO, "host_probed", "host=%s outcome=%s",
-		  probe->id, probe_outcome_name(outcome));
+	log_event(LOG_LEVEL_INFO, "host_probed",
+		  "host=%s outcome=%s handshake_us=%" PRId64
+		  " handshake_samples=%" PRIu64,
+		  probe->id, probe_outcome_name(outcome),
+		  handshake->smoothed_ns / NS_PER_US, handshake->samples);
 	steering_probe_end(balancer->steering, probe->id, results[outcome]);
 	g_free(probe);
 }
--- a/parsleyladder/held_packets.c
+++ b/parsleyladder/held_packets.c
@@ -3,15 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
-#include "common/clock.h"
-
-/*
- * A caller sends its last opening packet 0.6 s after the first one and gives up
- * after 1.4 s, so 0.8 s after its last one. The limit is 0.1 s below that.
- */
-#define OPENING_AGE_MAX_NS (700 * NS_PER_MS)
-/* Packets of open flows are retransmitted at intervals of at most 1.6 s. */
-#define OPEN_AGE_MAX_NS (1600 * NS_PER_MS)
+#include "packet/transport.h"
+
+/* Left for the handshake when an opening packet is released. */
+#define HANDSHAKE_NS (100 * NS_PER_MS)
+/* The caller of an older packet may have given up. */
+#define OPENING_AGE_MAX_NS                                          \
+	(TRANSPORT_OPENING_TIMEOUT_NS - TRANSPORT_LAST_OPENING_NS - \
+	 HANDSHAKE_NS)
+/* Newer packets have replaced an older one. */
+#define OPEN_AGE_MAX_NS TRANSPORT_RETRANSMISSION_MAX_NS
 
 struct held_packet {
 	struct flow_key key;
--- a/steering/host_monitor.c
+++ b/steering/host_monitor.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "packet/transport.h"
 #include "steering/slowness.h"
 #include "steering_state.h"
 
@@ -10,11 +11,8 @@
 #define REMOVED_GRACE_NS (2 * NS_PER_S)
 /* Isolated: at least so many hosts are silent, and no host responds. */
 #define ISOLATION_HOSTS_MIN 3
-/*
- * Several times the longest TCP handshake seen by a balancer: the path to the
- * host, on to the caller and back to the balancer.
- */
-#define HANDSHAKE_MAX_NS (60 * NS_PER_MS)
+/* Waiting for the processor may take this long at a host or a balancer. */
+#define HANDSHAKE_LIMIT_MIN_NS (20 * NS_PER_MS)
 /*
  * The fabric may have moved a flow that was idle for longer to another
  * balancer, which can judge its host better. So it is dropped from the cache,
@@ -98,6 +96,29 @@
 	steering->options.probe(steering->options.context, host);
 }
 
+/*
+ * A handshake that takes longer than this is overdue. Without measurements, and
+ * at the latest, it is when the caller sends a copy of its opening packet.
+ */
+static int64_t handshake_limit_ns(const struct steering *steering)
+{
+	int64_t limit_ns = rtt_estimate_limit_ns(&steering->handshake);
+
+	if (limit_ns == 0)
+		return TRANSPORT_RETRANSMISSION_NS;
+	return CLAMP(limit_ns, HANDSHAKE_LIMIT_MIN_NS,
+		     TRANSPORT_RETRANSMISSION_NS);
+}
+
+void monitor_handshake(struct steering *steering,
+		       const struct cached_flow *flow, int64_t now_ns)
+{
+	/* Which of several copies the host accepted is not known. */
+	if (!flow->has_copies)
+		rtt_estimate_add(&steering->handshake,
+				 now_ns - flow->first_packet_ns);
+}
+
 /*
  * Probes hosts whose handshakes are overdue. A crashed host answers an opening
  * packet with a reset, which only the caller sees; the caller retries at once,
@@ -105,10 +126,10 @@
  */
 void monitor_overdue_handshakes(struct steering *steering, int64_t now_ns)
 {
+	int64_t before_ns = now_ns - handshake_limit_ns(steering);
 	struct cached_flow *flow;
 
-	while ((flow = flow_cache_take_overdue(steering->flows,
-					       now_ns - HANDSHAKE_MAX_NS))) {
+	while ((flow = flow_cache_take_overdue(steering->flows, before_ns))) {
 		if (!flow->host)
 			continue;
 		flow->host->health.is_handshake_overdue = true;
--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -85,6 +85,8 @@
 	}
 	flow->retransmissions = 0;
 	flow_window_restart(flow, flow->sent_end);
+	if (is_first)
+		monitor_handshake(steering, flow, now_ns);
 	if (!is_first && fields->payload_bytes > 0) {
 		health_record_late_progress(health, previous_packet_ns, now_ns);
 	} else {
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -148,6 +148,11 @@
 	return steering->routing;
 }
 
+const struct rtt_estimate *steering_handshake(const struct steering *steering)
+{
+	return &steering->handshake;
+}
+
 struct host_table *steering_hosts(struct steering *steering)
 {
 	return steering->hosts;
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "common/token_bucket.h"
+#include "steering/rtt_estimate.h"
 #include "steering/steering.h"
 
 /** Maximum rate of probes, for all hosts together. */
@@ -28,6 +29,11 @@
 	bool is_up_to_date;
 	int64_t up_to_date_since_ns;
 	int64_t progress_ns; /* latest of any host */
+	/*
+	 * From an opening packet to the caller's next one: to the host, on to
+	 * the caller and back to this balancer.
+	 */
+	struct rtt_estimate handshake;
 	struct token_bucket probe_limit; /* rate, for all hosts */
 	uint64_t reason_counts[STEERING_REASONS];
 };
@@ -74,6 +80,9 @@
  * shows no progress.
  */
 bool monitor_host_is_dead(const struct known_host *host, int64_t now_ns);
+/** The caller of @flow has sent its second packet. */
+void monitor_handshake(struct steering *steering,
+		       const struct cached_flow *flow, int64_t now_ns);
 void monitor_overdue_handshakes(struct steering *steering, int64_t now_ns);
 void monitor_dead_hosts(struct steering *steering, int64_t now_ns);
 void monitor_slow_hosts(struct steering *steering, int64_t now_ns);
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -244,6 +244,21 @@
 				 0);
 }
 
+struct steering_decision packet_fin(struct fixture *fixture, uint16_t port,
+				    uint32_t token, uint32_t sequence,
+				    uint32_t acknowledged)
+{
+	struct token_packet packet = packet_create(port);
+	struct steering_decision decision;
+
+	packet.token = token;
+	packet.fields.tcp_flags = TCP_FLAG_ACK | TCP_FLAG_FIN;
+	packet.fields.tcp_sequence = sequence;
+	packet.fields.tcp_acknowledgement = acknowledged;
+	steering_handle_packet(fixture->steering, &packet, &decision);
+	return decision;
+}
+
 struct known_host *flow_open(struct fixture *fixture, uint16_t port)
 {
 	struct steering_decision decision = packet_syn(fixture, port, 0);
@@ -253,3 +268,18 @@
 	packet_ack(fixture, port, decision.host->token, port + 101, 1000);
 	return decision.host;
 }
+
+void fixture_measure_handshakes(struct fixture *fixture, uint16_t count,
+				uint32_t handshake_ms)
+{
+	/* Ports that no test uses. */
+	uint16_t port = 40000;
+
+	for (uint16_t i = 0; i < count; i++, port++) {
+		struct known_host *host = packet_syn(fixture, port, 0).host;
+
+		fixture_advance(fixture, handshake_ms);
+		packet_data(fixture, port, host->token, port + 1, 999);
+		packet_fin(fixture, port, host->token, port + 101, 1000);
+	}
+}
--- a/tests/steering/fixture.h
+++ b/tests/steering/fixture.h
@@ -73,6 +73,13 @@
 struct steering_decision packet_ack(struct fixture *fixture, uint16_t port,
 				    uint32_t token, uint32_t sequence,
 				    uint32_t acknowledged);
+/** Acknowledges and ends the flow. */
+struct steering_decision packet_fin(struct fixture *fixture, uint16_t port,
+				    uint32_t token, uint32_t sequence,
+				    uint32_t acknowledged);
+/** Opens and ends @count flows, one after the other. */
+void fixture_measure_handshakes(struct fixture *fixture, uint16_t count,
+				uint32_t handshake_ms);
 /** Opens a flow with one answered request; returns its host. */
 struct known_host *flow_open(struct fixture *fixture, uint16_t port);
 
