--- a/steering/steering.c
+++ b/steering/steering.c
@@ -107,10 +107,7 @@
 		 */
 		steering_decide(decision, STEERING_HOLD, STEERING_NOT_READY,
 				NULL);
-	} else if (!steering->routing) {
-		/* Hosts are known before routes, and open flows need no route. */
-		open_flow_handle(steering, packet, flow, now_ns, decision);
-	} else if (!rule) {
+	} else if (steering->routing && !rule) {
 		steering_decide(decision,
 				fields->tcp_flags & TCP_FLAG_RST
 					? STEERING_DROP
@@ -121,6 +118,7 @@
 	} else if (decision->is_opening) {
 		opening_handle(steering, packet, rule, flow, now_ns, decision);
 	} else {
+		/* Needs no route: hosts are known earlier than routes. */
 		open_flow_handle(steering, packet, flow, now_ns, decision);
 	}
 	steering->reason_counts[decision->reason]++;
