Let small fleets list at once, and announce replicas that recovered

Cause: after all processes were killed, balancers that heard of each other waited 50 ms and more for those of higher rank to list first, up to 0.2 s, although nine balancers and one page of hosts are no load for the store. Change: ranks count only if more than 24 members are known or the listing has several pages. The simulated store of the tests reports further pages only if it has more than 50 hosts.

--- a/sharing/sharing_gossip.c
+++ b/sharing/sharing_gossip.c
@@ -17,8 +17,9 @@
 /* Number of members per interval while the replica is stale. */
 #define GOSSIP_STALE_COUNT 2
 /*
- * Number of members notified of the first listing. Each may list from this
- * balancer at once, and notifies as many in turn.
+ * Number of members notified of the first listing, and of a replica that is no
+ * longer stale. Each may poll this balancer at once, and notifies as many in
+ * turn.
  */
 #define ANNOUNCE_COUNT 4
 
@@ -79,14 +80,21 @@
 }
 
 /*
- * Tells the seeds and a few members that this balancer can serve listings. The
- * other members without a listing ask for one soon.
+ * Tells the seeds and a few members that this balancer has an up-to-date
+ * replica, when it has its first one and whenever it was stale before. Members
+ * whose replica is stale, as their leader's may be, poll this balancer then.
  */
-static void listing_announce(struct sharing *sharing, int64_t now_ns)
+static void replica_announce(struct sharing *sharing, int64_t now_ns)
 {
-	if (sharing->is_listing_announced || !sharing_is_synced(sharing))
+	if (!sharing_is_synced(sharing))
 		return;
-	sharing->is_listing_announced = true;
+	if (sharing_is_stale(sharing, now_ns)) {
+		sharing->is_replica_announced = false;
+		return;
+	}
+	if (sharing->is_replica_announced)
+		return;
+	sharing->is_replica_announced = true;
 	/* Starting balancers contact the seeds first, which pass it on. */
 	sharing->next_seed_gossip_ns = 0;
 	seeds_send_gossip(sharing, true, now_ns);
@@ -99,7 +107,7 @@
 	bool is_alone = members_ranked(sharing->members)->len < 2;
 
 	seeds_send_gossip(sharing, is_alone, now_ns);
-	listing_announce(sharing, now_ns);
+	replica_announce(sharing, now_ns);
 	if (now_ns < sharing->next_gossip_ns)
 		return;
 	if (!sharing->options.replica_status->is_complete) {
--- a/sharing/sharing_read.c
+++ b/sharing/sharing_read.c
@@ -11,6 +11,11 @@
 #define START_READERS 2
 /* Each further rank waits this much more. */
 #define START_RANK_STEP_NS (50 * NS_PER_MS)
+/*
+ * So few members can list at once: the store's listing fits in one page, and
+ * one gossip message names all of them.
+ */
+#define START_SMALL_FLEET MEMBER_SAMPLE_MAX
 
 /*
  * Until a member responds, a balancer knows no other, and only the first page
@@ -85,7 +90,8 @@
 	int64_t rank = own_rank(sharing);
 	int64_t wait_ns = sharing->options.member_wait_ms * NS_PER_MS;
 
-	if (sharing->first_gossip_ns == 0 && !sharing->has_multipage_listing)
+	if (!sharing->has_multipage_listing &&
+	    members_count(sharing->members) <= START_SMALL_FLEET)
 		return wait_ns;
 	if (sharing->first_gossip_ns == 0)
 		return MAX(wait_ns, start_alone_wait_ns(sharing));
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -67,7 +67,7 @@
 	int64_t first_gossip_ns; /* 0 for none */
 	int64_t next_gossip_ns;
 	int64_t next_seed_gossip_ns;
-	bool is_listing_announced; /* seeds and a few members were notified */
+	bool is_replica_announced; /* seeds and a few members were notified */
 	bool is_store_reader;
 
 	/* Following. */
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -10,6 +10,8 @@
  * Simulated readers read the store every 200 ms. Real ones do so once a second,
  * and at once after a change.
  */
+/* Hosts in a page of a listing. */
+#define STORE_PAGE_HOSTS 50
 #define STORE_INTERVAL_NS (200 * NS_PER_MS)
 #define FIRST_ADDRESS 0x0a000001
 #define SEEDS 3
@@ -325,7 +327,9 @@
 
 	if (network->listing_ms > 0 && !node_is_synced(node)) {
 		if (node->listing_end_ns == 0) {
-			sharing_handle_first_page(node->sharing, true);
+			sharing_handle_first_page(node->sharing,
+						  network->hosts->len >
+							  STORE_PAGE_HOSTS);
 			if (!node->is_store_reader)
 				return;
 			network->link_free_ns =
--- a/tests/sharing/test_start.c
+++ b/tests/sharing/test_start.c
@@ -190,6 +190,39 @@
 }
 END_TEST
 
+#define NODES_FEW 9
+#define HOSTS_FEW 18
+
+/*
+ * All balancers of a small fleet are killed and start at once. When those of
+ * lower rank waited for the others, callers waited for 0.2 s, although the store
+ * can serve all of them at once.
+ */
+START_TEST(small_fleet_does_not_wait_for_ranks) {
+	int64_t slowest_ns = 0;
+	int64_t start_ns;
+
+	network_open(&network, NODES_FEW, ZONES);
+	for (uint32_t i = 1; i <= HOSTS_FEW; i++)
+		network_publish_host(&network, i, false);
+	network_publish_routes(&network, 1, 100);
+	network_run(&network, 5000);
+	network.listing_ms = 1;
+	network_restart_all(&network, ZONES, 10, 0);
+	start_ns = network.clock.now_ns;
+	network_run(&network, 1000);
+	for (uint32_t i = 0; i < NODES_FEW; i++) {
+		ck_assert_int_ne(network.nodes[i].synced_ns, 0);
+		slowest_ns =
+			MAX(slowest_ns, network.nodes[i].synced_ns - start_ns);
+	}
+	network_close(&network);
+	printf("figure restarted_small_fleet_slowest %" PRId64 " ms\n",
+	       slowest_ns / NS_PER_MS);
+	ck_assert_int_le(slowest_ns, 100 * NS_PER_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("start");
@@ -206,6 +239,7 @@
 	tcase_add_test(scale, listings_after_a_power_loss_are_spread);
 	tcase_add_loop_test(
 		scale, few_nodes_list_from_the_store_after_a_power_loss, 0, 2);
+	tcase_add_test(scale, small_fleet_does_not_wait_for_ranks);
 	suite_add_tcase(suite, scale);
 	return suite_run(suite);
 }
