--- a/include/packet/packet.h
+++ b/include/packet/packet.h
@@ -5,6 +5,7 @@
  * Addresses, flows, and the packet fields that a forwarding decision needs.
  */
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -58,6 +59,10 @@
 bool ip_address_equal(const struct ip_address *a, const struct ip_address *b);
 bool flow_key_equal(const struct flow_key *a, const struct flow_key *b);
 
+/** Of struct flow_key, for GHashTable. */
+guint flow_key_table_hash(gconstpointer key);
+gboolean flow_key_table_equal(gconstpointer left, gconstpointer right);
+
 /** Hash of a flow, the same on each instance that uses the same @seed. */
 uint64_t flow_key_hash(const struct flow_key *key, uint64_t seed);
 
--- a/include/steering/host_health.h
+++ b/include/steering/host_health.h
@@ -11,10 +11,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "packet/transport.h"
+
 /** Retransmissions without any progress after which a host is ejected. */
 #define HEALTH_RETRANSMISSIONS_MIN 3
-/** Minimum time without progress before a host counts as silent. */
-#define HEALTH_SILENCE_NS (600 * INT64_C(1000000))
+/**
+ * Minimum time without progress before a host counts as silent: a caller
+ * retransmits twice in it.
+ */
+#define HEALTH_SILENCE_NS (3 * TRANSPORT_RETRANSMISSION_NS)
 
 /** Number of responses after which the moving average is considered stable. */
 #define HEALTH_RESPONSES_MAX 8
--- a/include/steering/placement_pool.h
+++ b/include/steering/placement_pool.h
@@ -19,7 +19,6 @@
 	POOL_SUSPECT, /* slow, or with unanswered packets */
 	POOL_SILENT, /* has stopped responding */
 	POOL_UNUSABLE, /* removed, draining or with a conflicting token */
-	POOL_CLASSES,
 };
 
 /** Hosts of one class. */
--- a/packet/address.c
+++ b/packet/address.c
@@ -96,3 +96,13 @@
 	       ip_address_equal(&a->caller, &b->caller) &&
 	       ip_address_equal(&a->service, &b->service);
 }
+
+guint flow_key_table_hash(gconstpointer key)
+{
+	return (guint)flow_key_hash(key, 0);
+}
+
+gboolean flow_key_table_equal(gconstpointer left, gconstpointer right)
+{
+	return flow_key_equal(left, right);
+}
--- a/parsleyladder/balancer_probe.c
+++ b/parsleyladder/balancer_probe.c
@@ -4,8 +4,8 @@
 #include "common/log.h"
 
 /*
- * Far longer than a round trip between zones: they are up to 6 ms apart, so it
- * takes up to 12 ms.
+ * Longer than the time after which a caller sends a copy of its opening packet,
+ * as a probe needs one round trip less than a caller's handshake.
  */
 #define PROBE_TIMEOUT_MS 250
 
--- a/parsleyladder/held_packets.c
+++ b/parsleyladder/held_packets.c
@@ -29,23 +29,14 @@
 	GQueue by_age;
 };
 
-static guint key_hash(gconstpointer key)
-{
-	return (guint)flow_key_hash(key, 0);
-}
-
-static gboolean key_equal(gconstpointer left, gconstpointer right)
-{
-	return flow_key_equal(left, right);
-}
-
 struct held_packets *
 held_packets_create(const struct held_packets_options *options)
 {
 	struct held_packets *held = g_new0(struct held_packets, 1);
 
 	held->options = *options;
-	held->by_flow = g_hash_table_new(key_hash, key_equal);
+	held->by_flow =
+		g_hash_table_new(flow_key_table_hash, flow_key_table_equal);
 	return held;
 }
 
--- a/steering/flow_cache.c
+++ b/steering/flow_cache.c
@@ -8,21 +8,12 @@
 	uint64_t evictions;
 };
 
-static guint key_hash(gconstpointer key)
-{
-	return (guint)flow_key_hash(key, 0);
-}
-
-static gboolean key_equal(gconstpointer left, gconstpointer right)
-{
-	return flow_key_equal(left, right);
-}
-
 struct flow_cache *flow_cache_create(uint32_t flows_max)
 {
 	struct flow_cache *cache = g_new0(struct flow_cache, 1);
 
-	cache->entries = g_hash_table_new(key_hash, key_equal);
+	cache->entries =
+		g_hash_table_new(flow_key_table_hash, flow_key_table_equal);
 	cache->flows_max = flows_max;
 	return cache;
 }
--- a/steering/host_health.c
+++ b/steering/host_health.c
@@ -1,7 +1,5 @@
 #include "steering/host_health.h"
 
-#include "packet/transport.h"
-
 /* A host that was unreachable is usually back within a few seconds. */
 #define TRIAL_DELAY_MIN_MS 500
 #define TRIAL_DELAY_MAX_MS 4000
