Spread the crowd after a restart of the fleet over all zones

Change: for 1 s after a start with a listing from the store, that is without a member that could serve one, hosts of all zones count alike. A pool is classified again when that ends.

--- a/include/steering/placement_pool.h
+++ b/include/steering/placement_pool.h
@@ -31,6 +31,7 @@
 	struct pool_hosts classes[POOL_UNUSABLE];
 	double usable_slots; /* of the own zone */
 	double nominal_slots; /* of all its hosts, also recently removed ones */
+	bool is_any_zone; /* all zones counted as local */
 	uint64_t generation; /* when the hosts were last classified */
 	int64_t classified_ns; /* 0 for never */
 };
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -132,6 +132,11 @@
  * then are flows reset merely because their host was removed.
  */
 void steering_set_up_to_date(struct steering *steering, bool is_up_to_date);
+/**
+ * All balancers have restarted: callers of zones whose balancers are not ready
+ * yet come here, so hosts of all zones take flows alike for a while.
+ */
+void steering_handle_fleet_restart(struct steering *steering);
 /** Passes on the result of the probe of the host with this id. */
 void steering_probe_end(struct steering *steering, const char *id,
 			enum probe_result result);
--- a/parsleyladder/balancer_ready.c
+++ b/parsleyladder/balancer_ready.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <string.h>
 
 #include "balancer_private.h"
 #include "common/log.h"
@@ -47,6 +48,9 @@
 	}
 	balancer->is_synced = true;
 	steering_set_synced(balancer->steering);
+	/* No member could serve the listing. */
+	if (strcmp(balancer->replica_status.source, "store") == 0)
+		steering_handle_fleet_restart(balancer->steering);
 	released = forwarder_release(balancer->forwarder);
 	log_event(LOG_LEVEL_INFO, "listing_complete",
 		  "hosts=%u version=%" PRIu64 " revision=%" PRIu64
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -50,8 +50,9 @@
 			struct known_host *excluded, int64_t now_ns,
 			struct choice *choice)
 {
-	const char *zone = policy_is_any_zone(policy) ? NULL
-						      : steering->options.zone;
+	bool is_any_zone = policy_is_any_zone(policy) ||
+			   now_ns < steering->any_zone_until_ns;
+	const char *zone = is_any_zone ? NULL : steering->options.zone;
 	struct choice_request request = {
 		.zone = zone,
 		.excluded = excluded,
--- a/steering/placement_pool.c
+++ b/steering/placement_pool.c
@@ -100,9 +100,11 @@
 			    int64_t now_ns)
 {
 	if (pool->classified_ns != 0 && pool->generation == generation &&
+	    pool->is_any_zone == !zone &&
 	    now_ns - pool->classified_ns < CLASSES_AGE_MAX_NS)
 		return;
 	pool->generation = generation;
+	pool->is_any_zone = !zone;
 	pool->classified_ns = now_ns;
 	pool->usable_slots = 0;
 	pool->nominal_slots = 0;
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -10,6 +10,8 @@
  * flows that were closed or never opened for longer.
  */
 #define CACHE_RETENTION_MIN_NS (5 * NS_PER_S)
+/* The balancers of a fleet that restarts are ready within this time. */
+#define FLEET_START_NS (1 * NS_PER_S)
 
 const char *const steering_reason_names[STEERING_REASONS] = {
 	[STEERING_PLACED] = "placed",
@@ -160,6 +162,11 @@
 	steering->is_synced = true;
 }
 
+void steering_handle_fleet_restart(struct steering *steering)
+{
+	steering->any_zone_until_ns = steering_now(steering) + FLEET_START_NS;
+}
+
 void steering_set_up_to_date(struct steering *steering, bool is_up_to_date)
 {
 	if (is_up_to_date && !steering->is_up_to_date)
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -27,6 +27,7 @@
 	GRand *random;
 	bool is_synced; /* the first complete listing was applied */
 	bool is_up_to_date;
+	int64_t any_zone_until_ns; /* until then all zones count as local */
 	int64_t up_to_date_since_ns;
 	int64_t progress_ns; /* latest of any host */
 	/*
--- a/tests/steering/test_steering.c
+++ b/tests/steering/test_steering.c
@@ -311,6 +311,42 @@
 }
 END_TEST
 
+/* Largest number of flows of a host among those with these numbers. */
+static uint32_t flows_max(uint32_t first, uint32_t last)
+{
+	uint32_t flows = 0;
+
+	for (uint32_t number = first; number <= last; number++)
+		flows = MAX(flows, fixture_host(&fixture, number)->open_flows);
+	return flows;
+}
+
+/*
+ * All balancers restart, and those of this zone are ready first: the fabric
+ * sends them the callers of all zones. On hosts of their own zone alone, these
+ * would be 28 flows a host, which refuses all above 10.
+ */
+START_TEST(crowd_after_a_restart_is_spread_over_all_zones) {
+	static const char *const zones[] = { "a", "b", "c" };
+
+	fixture_close(&fixture);
+	fixture_open(&fixture, "a");
+	fixture_route(&fixture, 1, true);
+	for (uint32_t number = 1; number <= 15; number++)
+		fixture_publish(&fixture, number, zones[number % 3]);
+	steering_handle_fleet_restart(fixture.steering);
+	for (uint16_t port = 1; port <= 140; port++)
+		flow_open(&fixture, port);
+	ck_assert_uint_le(flows_max(1, 15), 12);
+	/* The balancers of the other zones are ready now. */
+	fixture_advance(&fixture, 1100);
+	for (uint16_t port = 201; port <= 300; port++)
+		ck_assert_str_eq(
+			packet_syn(&fixture, port, 0).host->published.zone,
+			"a");
+}
+END_TEST
+
 /*
  * After all balancers have lost power, callers with open flows wait for the
  * listing of the hosts only, not for the routes, which come later.
@@ -390,6 +426,7 @@
 			    2);
 	tcase_add_test(cases, first_packet_before_any_routes_is_held);
 	tcase_add_test(cases, open_flow_needs_no_routes);
+	tcase_add_test(cases, crowd_after_a_restart_is_spread_over_all_zones);
 	tcase_add_test(cases, nothing_is_refused_before_the_first_listing);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
