--- a/review/standin.py
+++ b/review/standin.py
@@ -26,6 +26,7 @@
 DRAIN_S = 3.0
 CONFIG_APPLY_S = 3.0
 HEARTBEAT_S = 1.2
+STORE_ANSWER_S = 0.004
 
 SYN, ACK, FIN, RST = 4, 2, 128, 8
 HEADER = struct.Struct(">IHIIIBBIHHI")
@@ -153,6 +154,12 @@
                 count += 1
         self.record.write(f"store: {count} open connections go silent")
 
+    def refuse(self, address):
+        """The balancer with this store address gets 503, at once."""
+        self.refused.add(address)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     async def listen(self, address, port):
         self.connections[address] = []
         await asyncio.start_server(
@@ -187,6 +194,7 @@
         if address in self.refused:
             return 503, {}
         if url.path == "/api/kv-range":
+            await asyncio.sleep(STORE_ANSWER_S)
             items = [self.items[key] for key in sorted(self.items)
                      if key.startswith(query.get("prefix", ""))
                      and key > query.get("after", "")]
@@ -505,7 +513,7 @@
             "store_endpoint": f"{self.store_address}:{world.store_port}",
             "sharing_port": world.sharing_port, "core_share": "0.25",
             "seeds": [f"{balancer.address}:{world.control_port}"
-                      for balancer in world.balancers[:3]],
+                      for balancer in world.seeds()],
             "member_wait_milliseconds": 600 if bootstrap else 20,
             "flow_age_max_seconds": 60}
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -548,11 +556,13 @@
 class World:
     """A small deployment, with the fabric in front of its balancers."""
 
-    def __init__(self, case_folder):
-        self.record = Record(case_folder)
+    nets = random.sample(range(20, 220), 32)
+
+    def __init__(self, record):
+        self.record = record
         self.directory = tempfile.TemporaryDirectory(prefix="parsleyladder-review-")
         self.folder = self.directory.name
-        self.net = random.randint(20, 220)
+        self.net = World.nets.pop()
         self.packet_port = free_port(f"127.{self.net}.3.1")
         self.ready_port, self.control_port, self.admin_port = (
             free_port(f"127.{self.net}.3.1") for _ in range(3))
@@ -568,6 +578,13 @@
         self.on_open = lambda host, packet, balancer: None
         self.on_reset = lambda flow, packet, source: None
 
+    def seeds(self):
+        """One balancer of each zone, three at most."""
+        first = {}
+        for balancer in self.balancers:
+            first.setdefault(balancer.zone, balancer)
+        return list(first.values())[:3]
+
     async def start(self, zones, hosts, callers):
         """`zones` and `hosts`: one zone, or (service, zone), for each machine."""
         for number, zone in enumerate(zones, 1):
@@ -643,10 +660,9 @@
         if keep:
             for name in os.listdir(self.folder):
                 with open(os.path.join(self.folder, name), "rb") as source, \
-                        open(os.path.join(keep, name), "wb") as copy:
+                        open(os.path.join(keep, f"{self.net}-{name}"), "wb") as copy:
                     copy.write(source.read())
         self.directory.cleanup()
-        self.record.close()
 
 
 def has_trouble():
@@ -656,7 +672,8 @@
 def run(case_folder, case):
     """Runs the case; the exit code: 1 rule broken, 0 held, 2 could not run."""
     async def main():
-        world = World(case_folder)
+        record = Record(case_folder)
+        world = World(record)
         try:
             if not os.path.exists(BINARY):
                 world.record.write("not built: target/parsleyladder/parsleyladder")
@@ -672,4 +689,5 @@
             for task in world.tasks:
                 task.cancel()
             world.close()
+            record.close()
     raise SystemExit(asyncio.run(main()))
