--- a/review/standin.py
+++ b/review/standin.py
@@ -220,11 +220,12 @@
 class Host:
     """A server: registers itself, accepts flows, runs requests."""
 
-    def __init__(self, world, number, service, zone, work_s=0.05, max_flows=2000):
+    def __init__(self, world, number, service, zone, host_id=None, work_s=0.05,
+                 max_flows=2000):
         self.world = world
         self.max_flows = max_flows
-        self.id = f"i-{0x7f3a0000 + number:08x}"
-        self.number = 0x7f3a0000 + number
+        self.id = host_id or f"i-{0x7f3a0000 + number:08x}"
+        self.number = int(self.id[2:], 16)
         self.service = service
         self.zone = zone
         self.work_s = work_s
