--- a/review/standin.py
+++ b/review/standin.py
@@ -125,6 +125,7 @@
         self.changed = asyncio.Event()
         self.refused = set()  # addresses whose callers get 503
         self.connections = {}  # address to its open connections
+        self.on_answer = lambda address, path, body: None
 
     def put(self, key, value):
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -182,6 +183,7 @@
                              f"\r\nContent-Length: {len(payload)}\r\n\r\n".encode()
                              + payload)
                 await writer.drain()
+                self.on_answer(address, path, body)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
