--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,8 @@
-"""A balancer counts its replica as up to date although changes don't reach it."""
+"""A configuration is lost to a zone whose store reader dies while passing it on."""
 
 import asyncio
 import os
+import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -9,36 +10,39 @@
 
 import standin  # noqa: E402
 
-ROUTE = ("198.18.0.1", 8080)
-DEPLOYMENTS = 8  # alike and apart, started one after the other
+ADDRESS = "198.18.0.1"
+DEPLOYMENTS = 12  # alike and apart
 ZONES = "aaabbbcc"
 HOST_ZONES = "aaaaabbbbbcccc"
-IDLE_ROUTES = 110
-DOWN_S = 0.2  # a killed process is started again after a short delay
-FLOWS_PER_S = 5  # through each balancer
-
-
-async def request(world, caller, balancer, name):
-    flow = standin.Flow(caller, ROUTE, balancer)
+ROUTES = 1500  # 110 idle ones, and what four big_config add
+TURNS = 8  # changes of the configuration
+KILL_MIN_S, KILL_MAX_S = 0.005, 0.125  # after the reader was told of the change
+DOWN_S = 1.5  # without power
+WATCHED_S = 7.0
+FLOWS_PER_S = 3  # through each balancer
+
+
+def configuration(version, added_port):
+    """All routes are split, with weights of this version; one route is added."""
+    routes = [{"name": f"r{port}", "host": ADDRESS, "prefix": f"/{port}/",
+               "split": [{"service": "examen", "weight": 100},
+                         {"service": "archive", "weight": version % 2}]}
+              for port in range(8000, 8000 + ROUTES)]
+    routes.append({"name": f"r{added_port}", "host": ADDRESS,
+                   "prefix": f"/{added_port}/", "service": "examen"})
+    return {"version": version, "routes": routes,
+            "services": [{"name": "examen"}, {"name": "archive"}],
+            "limits": {"idleTimeoutMs": 15000}}
+
+
+async def request(world, balancer, port, name):
+    flow = standin.Flow(world.callers[0], (ADDRESS, port), balancer)
+    flow.sent_at = world.record.now()
     if await flow.open():
         await flow.request(f"GET /feed HTTP/1.1\r\nX-Request-Id: {name}\r\n\r\n", 3)
     flow.close()
 
 
-async def traffic(world, stop):
-    count = 0
-    running = set()
-    while not stop.is_set():
-        for balancer in world.balancers:
-            count += 1
-            task = asyncio.create_task(
-                request(world, world.callers[0], balancer, f"{world.net}-{count}"))
-            running.add(task)
-            task.add_done_callback(running.discard)
-        await asyncio.sleep(1 / FLOWS_PER_S)
-    await asyncio.gather(*running)
-
-
 async def readers_of(world):
     """The balancers that read the store for their zones, in order."""
     states = [await balancer.state() for balancer in world.balancers]
@@ -46,63 +50,84 @@
             if state and state["sharing"]["leader"] == "none"]
 
 
-async def deployment_start(world):
-    """Starts all machines at the same moment; true once they are in rotation."""
-    routes = [{"name": "r1", "host": ROUTE[0], "prefix": f"/{ROUTE[1]}/",
-               "service": "examen"}]
-    routes += [{"name": f"i{i}", "host": "198.18.1.1", "prefix": f"/{10000 + i}/",
-                "service": "examen"} for i in range(IDLE_ROUTES)]
-    world.store.put("op/config", {"version": 7, "routes": routes,
-                                  "services": [{"name": "examen"}],
-                                  "limits": {"idleTimeoutMs": 15000}})
-    await world.start(ZONES, [("examen", zone) for zone in HOST_ZONES], "a")
-    return await world.until_ready()
+async def change(world, version, port, reader, delay_s):
+    """Publishes a configuration; its reader dies that long after it was told."""
+    loop = asyncio.get_running_loop()
+    died = asyncio.Event()
 
+    def die():
+        world.record.write(f"deployment {world.net}: dies after {delay_s * 1000:.1f} ms")
+        reader.signal(standin.signal.SIGKILL)
+        died.set()
 
-async def deployment_play(world):
-    """In one zone after the other, kills the store reader while a host drains."""
-    calm = {b.address: world.record.now() for b in world.balancers}
+    def on_answer(address, path, body):
+        if address == reader.store_address and any(
+                event["key"] == "op/config" for event in body.get("events", [])):
+            world.store.on_answer = lambda address, path, body: None
+            loop.call_later(delay_s, die)
+
+    if standin.has_trouble():
+        world.store.on_answer = on_answer
+    world.store.put("op/config", configuration(version, port))
+    acked = world.record.now()
+    world.record.write(f"deployment {world.net}: configuration {version} acknowledged")
+    if standin.has_trouble():
+        await asyncio.wait_for(died.wait(), 5)
+        reader.process.wait()
+    return acked
 
-    def on_open(host, packet, source):
-        if host.drained_at is None:
-            return
-        now = world.record.now()
-        late = now - host.drained_at
-        if late > standin.DRAIN_S and now - calm[source] > standin.STABLE_WINDOW_S:
-            world.record.broke(f"DRAIN: {host.id} got a new flow through "
-                               f"{world.balancer_at(source).name} ({source}), "
-                               f"{late:.2f} s after the ack")
-
-    world.on_open = on_open
-    readers = await readers_of(world)
-    stop = asyncio.Event()
-    tasks = [asyncio.create_task(traffic(world, stop))]
-    await asyncio.sleep(standin.STABLE_WINDOW_S)
-    for reader, host in zip(readers, world.hosts[::5]):
-        if standin.has_trouble():
-            reader.signal(standin.signal.SIGKILL)
-            reader.process.wait()
-            calm[reader.address] = world.record.now()
-        host.drain()
-        await asyncio.sleep(DOWN_S)
-        if standin.has_trouble():
-            reader.start(False)
-            calm[reader.address] = world.record.now()
-        await asyncio.sleep(standin.DRAIN_S + 2)
-    stop.set()
-    await asyncio.gather(*tasks)
+
+async def deployment_play(world, number):
+    calm = {b.address: world.record.now() for b in world.balancers}
+    state = {"port": 0, "acked": 0.0}
+
+    def on_reset(flow, packet, source):
+        late = flow.sent_at - state["acked"]
+        if packet.sum == 0 and flow.route[1] == state["port"] \
+                and late > standin.CONFIG_APPLY_S \
+                and flow.sent_at - calm[source] > standin.STABLE_WINDOW_S:
+            world.record.broke(f"CONFIG: {world.balancer_at(source).name} ({source}) refuses "
+                               f"a route that was added, {late:.2f} s after the ack")
+
+    world.on_reset = on_reset
+    await asyncio.sleep(standin.STABLE_WINDOW_S + 1)
+    for turn in range(TURNS):
+        readers = await readers_of(world)
+        if not readers:
+            continue
+        reader = readers[(number + turn) % len(readers)]
+        state["port"] = 10000 + turn
+        state["acked"] = await change(world, 11 + 5 * turn, state["port"], reader,
+                                      random.uniform(KILL_MIN_S, KILL_MAX_S))
+        end = state["acked"] + WATCHED_S
+        back = state["acked"] + DOWN_S if standin.has_trouble() else end + 1
+        running = []
+        while world.record.now() < end:
+            if world.record.now() >= back:
+                back = end + 1
+                reader.start(False)
+                calm[reader.address] = world.record.now()
+            for balancer in world.balancers:
+                if balancer.should_run:
+                    running.append(asyncio.create_task(request(
+                        world, balancer, state["port"], f"{world.net}-{len(running)}")))
+            await asyncio.sleep(1 / FLOWS_PER_S)
+        await asyncio.gather(*running)
 
 
 async def case(world):
     worlds = [world]
     try:
         while True:
-            if not await deployment_start(worlds[-1]):
+            each = worlds[-1]
+            each.store.put("op/config", configuration(7, 9999))
+            await each.start(ZONES, [("examen", zone) for zone in HOST_ZONES], "a")
+            if not await each.until_ready():
                 return False
             if len(worlds) == DEPLOYMENTS:
                 break
             worlds.append(standin.World(world.record))
-        await asyncio.gather(*(deployment_play(each) for each in worlds))
+        await asyncio.gather(*(deployment_play(each, i) for i, each in enumerate(worlds)))
         world.lateness = max(each.lateness for each in worlds)
         return True
     finally:
