Report announced routes and interrupted transfers

Routes come in chunks after the update that announces them, and neither the announcement nor a transfer that breaks off was reported.

New events routes_announced and routes_dropped; leader_changed and reading_changed give the version of the routes held; the metric balancer_announced_routes_version and the state dump give the newest version that a member announced. No decision changes.

--- a/include/sharing/sharing.h
+++ b/include/sharing/sharing.h
@@ -74,6 +74,12 @@
 	/** The leader changed to @address; 0 for none. */
 	void (*on_leader_changed)(void *context, uint32_t address,
 				  const char *reason);
+	/** The member at @address announced newer routes, which are requested. */
+	void (*on_routes_announced)(void *context, uint32_t address,
+				    uint64_t version);
+	/** A transfer of routes ended after @chunks, before the last one. */
+	void (*on_routes_dropped)(void *context, uint64_t version,
+				  uint32_t chunks, const char *reason);
 	void *context;
 };
 
@@ -110,6 +116,11 @@
 /** True once all hosts, and the routes if there are any, were received. */
 bool sharing_is_synced(const struct sharing *sharing);
 bool sharing_is_store_reader(const struct sharing *sharing);
+/**
+ * Newest version of the routes that a polled member announced; 0 for none. The
+ * own version is older while the routes are transferred.
+ */
+uint64_t sharing_announced_routes_version(const struct sharing *sharing);
 /** Time from a poll to its response, in microseconds. */
 const struct histogram *
 sharing_poll_response_times(const struct sharing *sharing);
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -11,6 +11,7 @@
 	[GAUGE_READY] = "ready",
 	[GAUGE_STORE_READER] = "reading",
 	[GAUGE_ROUTES_VERSION] = "routes_version",
+	[GAUGE_ANNOUNCED_ROUTES_VERSION] = "announced_routes_version",
 	[GAUGE_REVISION] = "revision",
 	[GAUGE_REPLICA_AGE_MS] = "knowledge_age_ms",
 	[GAUGE_HANDSHAKE_US] = "handshake_us",
@@ -30,7 +31,6 @@
 
 static void counters_sample(struct balancer *balancer)
 {
-	const struct routing *routing = steering_routing(balancer->steering);
 	const struct replica_status *replica_status = &balancer->replica_status;
 	const struct rtt_estimate *handshake =
 		steering_handshake(balancer->steering);
@@ -42,7 +42,9 @@
 		host_table_count(steering_hosts(balancer->steering));
 	gauges[GAUGE_READY] = balancer->is_ready;
 	gauges[GAUGE_STORE_READER] = sharing_is_store_reader(balancer->sharing);
-	gauges[GAUGE_ROUTES_VERSION] = routing ? routing->version : 0;
+	gauges[GAUGE_ROUTES_VERSION] = balancer_routes_version(balancer);
+	gauges[GAUGE_ANNOUNCED_ROUTES_VERSION] =
+		sharing_announced_routes_version(balancer->sharing);
 	gauges[GAUGE_REVISION] = replica_status->revision;
 	gauges[GAUGE_REPLICA_AGE_MS] = (uint64_t)MAX(
 		balancer_age_ms(balancer, replica_status->confirmed_ns), 0);
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -61,7 +61,7 @@
 	return text;
 }
 
-static uint64_t routing_version(const struct balancer *balancer)
+uint64_t balancer_routes_version(const struct balancer *balancer)
 {
 	const struct routing *routing = steering_routing(balancer->steering);
 
@@ -119,7 +119,8 @@
 		  host ? host->published.zone : "none",
 		  host ? host->open_flows : 0,
 		  host ? host->published.revision : 0,
-		  routing_version(balancer), balancer->replica_status.revision,
+		  balancer_routes_version(balancer),
+		  balancer->replica_status.revision,
 		  balancer_age_ms(balancer,
 				  balancer->replica_status.confirmed_ns));
 }
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -53,6 +53,7 @@
 	GAUGE_READY,
 	GAUGE_STORE_READER,
 	GAUGE_ROUTES_VERSION,
+	GAUGE_ANNOUNCED_ROUTES_VERSION,
 	GAUGE_REVISION,
 	GAUGE_REPLICA_AGE_MS,
 	GAUGE_HANDSHAKE_US, /* smoothed mean of the handshakes of new flows */
@@ -163,6 +164,8 @@
 /** Creates the store client, which does not watch the store yet. */
 void balancer_store_open(struct balancer *balancer);
 void balancer_store_close(struct balancer *balancer);
+/** Version of the routes in force; 0 for none. */
+uint64_t balancer_routes_version(const struct balancer *balancer);
 /** Applies routes if they are newer than the current ones. */
 void balancer_routing_apply(struct balancer *balancer, struct routing *routing);
 
--- a/parsleyladder/balancer_sharing.c
+++ b/parsleyladder/balancer_sharing.c
@@ -60,6 +60,31 @@
 	balancer_routing_apply(context, routing);
 }
 
+static void routes_announced(void *context, uint32_t address, uint64_t version)
+{
+	const struct balancer *balancer = context;
+	char text[IP_ADDRESS_TEXT_BYTES];
+
+	log_event(LOG_LEVEL_INFO, "routes_announced",
+		  "version=%" PRIu64 " held=%" PRIu64 " source=%s "
+		  "revision=%" PRIu64,
+		  version, balancer_routes_version(balancer),
+		  sharing_address_print(address, text),
+		  balancer->replica_status.revision);
+}
+
+static void routes_dropped(void *context, uint64_t version, uint32_t chunks,
+			   const char *reason)
+{
+	const struct balancer *balancer = context;
+
+	log_event(LOG_LEVEL_INFO, "routes_dropped",
+		  "version=%" PRIu64 " held=%" PRIu64
+		  " chunks=%u reason=%s revision=%" PRIu64,
+		  version, balancer_routes_version(balancer), chunks, reason,
+		  balancer->replica_status.revision);
+}
+
 static void store_reader_changed(void *context, bool is_store_reader,
 				 const char *reason)
 {
@@ -69,9 +94,10 @@
 		clock_now_ns(balancer->clock) - replica_status->confirmed_ns;
 
 	log_event(LOG_LEVEL_INFO, "reading_changed",
-		  "reading=%d reason=%s revision=%" PRIu64 " age_ms=%" PRId64,
+		  "reading=%d reason=%s revision=%" PRIu64 " age_ms=%" PRId64
+		  " routes_version=%" PRIu64,
 		  is_store_reader, reason, replica_status->revision,
-		  age_ns / NS_PER_MS);
+		  age_ns / NS_PER_MS, balancer_routes_version(balancer));
 	if (is_store_reader && sharing_is_synced(balancer->sharing))
 		store_set_revision(balancer->store, replica_status->revision);
 	store_set_following(balancer->store, is_store_reader);
@@ -86,9 +112,11 @@
 	char text[IP_ADDRESS_TEXT_BYTES];
 
 	log_event(LOG_LEVEL_INFO, "leader_changed",
-		  "leader=%s reason=%s revision=%" PRIu64,
+		  "leader=%s reason=%s revision=%" PRIu64
+		  " routes_version=%" PRIu64,
 		  sharing_address_print(leader, text), reason,
-		  balancer->replica_status.revision);
+		  balancer->replica_status.revision,
+		  balancer_routes_version(balancer));
 }
 
 void balancer_seeds_set(struct balancer *balancer)
@@ -127,6 +155,8 @@
 		.on_routing = routing_received,
 		.on_store_reader_changed = store_reader_changed,
 		.on_leader_changed = leader_changed,
+		.on_routes_announced = routes_announced,
+		.on_routes_dropped = routes_dropped,
 		.context = balancer,
 	};
 
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -183,6 +183,11 @@
 	return sharing->is_store_reader;
 }
 
+uint64_t sharing_announced_routes_version(const struct sharing *sharing)
+{
+	return sharing->announced_routes_version;
+}
+
 const struct histogram *
 sharing_poll_response_times(const struct sharing *sharing)
 {
@@ -205,6 +210,10 @@
 	json_member_string(builder, "leader",
 			   sharing_address_print(sharing->leader, leader));
 	json_member_boolean(builder, "is_reading", sharing->is_store_reader);
+	json_member_integer(builder, "announced_routes_version",
+			    (int64_t)sharing->announced_routes_version);
+	json_member_integer(builder, "incoming_routes_version",
+			    (int64_t)sharing->incoming_routes_version);
 	for (int i = 0; i < SHARING_COUNTERS; i++)
 		json_member_integer(builder, sharing_counter_names[i],
 				    (int64_t)sharing->counters[i]);
--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -109,7 +109,7 @@
 					UINT32_MAX, now_ns);
 	sharing->alternate = 0;
 	listing_clear(sharing);
-	routes_drop(sharing);
+	routes_drop(sharing, "alternate_replaced");
 	alternate_select(sharing, now_ns);
 }
 
--- a/sharing/sharing_routes.c
+++ b/sharing/sharing_routes.c
@@ -2,12 +2,33 @@
 
 #include "sharing/routing_codec.h"
 
-void routes_drop(struct sharing *sharing)
+static void transfer_end(struct sharing *sharing)
 {
 	sharing->incoming_routes_version = 0;
 	g_byte_array_set_size(sharing->incoming_routes, 0);
 }
 
+void routes_drop(struct sharing *sharing, const char *reason)
+{
+	if (sharing->incoming_routes_version != 0)
+		sharing->options.on_routes_dropped(
+			sharing->options.context,
+			sharing->incoming_routes_version,
+			sharing->incoming_routes_next_chunk - 1, reason);
+	transfer_end(sharing);
+}
+
+static void transfer_begin(struct sharing *sharing, uint32_t address,
+			   uint64_t version)
+{
+	sharing->incoming_routes_version = version;
+	sharing->incoming_routes_next_chunk = 1;
+	sharing->announced_routes_version =
+		MAX(sharing->announced_routes_version, version);
+	sharing->options.on_routes_announced(sharing->options.context, address,
+					     version);
+}
+
 static void routes_finish(struct sharing *sharing)
 {
 	struct routing *routing = routing_decode(
@@ -16,7 +37,7 @@
 	bool is_expected = routing &&
 			   routing->version == sharing->incoming_routes_version;
 
-	routes_drop(sharing);
+	transfer_end(sharing);
 	sharing->needs_all_routes = !is_expected;
 	if (is_expected)
 		sharing->options.on_routing(sharing->options.context, routing);
@@ -25,19 +46,18 @@
 	routing_unref(routing);
 }
 
-bool routes_handle_chunk(struct sharing *sharing,
+bool routes_handle_chunk(struct sharing *sharing, uint32_t address,
 			 const struct sharing_message *update)
 {
 	const struct routing *routing =
 		steering_routing(sharing->options.steering);
 
 	if (update->routes_version != sharing->incoming_routes_version)
-		routes_drop(sharing);
+		routes_drop(sharing, "other_version");
 	if (update->routes_version <= (routing ? routing->version : 0))
 		return false;
 	if (sharing->incoming_routes_version == 0) {
-		sharing->incoming_routes_version = update->routes_version;
-		sharing->incoming_routes_next_chunk = 1;
+		transfer_begin(sharing, address, update->routes_version);
 		return true;
 	}
 	if (update->chunk != sharing->incoming_routes_next_chunk)
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -95,6 +95,7 @@
 	size_t reported_load_count;
 
 	/* Routes being received in chunks. */
+	uint64_t announced_routes_version; /* newest one, 0 for none */
 	uint64_t incoming_routes_version; /* 0 for none */
 	uint32_t incoming_routes_next_chunk; /* from 1 */
 	GByteArray *incoming_routes;
@@ -139,9 +140,10 @@
 void store_reader_tick(struct sharing *sharing, int64_t now_ns);
 
 /* Receiving routes in chunks: sharing_routes.c. */
-void routes_drop(struct sharing *sharing);
+/** Ends a transfer; reports it unless it is complete. */
+void routes_drop(struct sharing *sharing, const char *reason);
 /** Returns true if another chunk is to be requested at once. */
-bool routes_handle_chunk(struct sharing *sharing,
+bool routes_handle_chunk(struct sharing *sharing, uint32_t address,
 			 const struct sharing_message *update);
 
 /* The first listing, and the alternate: sharing_listing.c. */
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -100,6 +100,23 @@
 	(void)reason;
 }
 
+static void announcement_ignore(void *context, uint32_t address,
+				uint64_t version)
+{
+	(void)context;
+	(void)address;
+	(void)version;
+}
+
+static void drop_ignore(void *context, uint64_t version, uint32_t chunks,
+			const char *reason)
+{
+	(void)context;
+	(void)version;
+	(void)chunks;
+	(void)reason;
+}
+
 static void reset_ignore(void *context, const struct cached_flow *flow,
 			 enum steering_reason reason)
 {
@@ -157,6 +174,8 @@
 		.on_routing = routing_apply,
 		.on_store_reader_changed = store_reader_set,
 		.on_leader_changed = leader_ignore,
+		.on_routes_announced = announcement_ignore,
+		.on_routes_dropped = drop_ignore,
 		.context = node,
 	};
 
