Let simulated readers watch by revision; show a configuration that is lost

The simulated store of the sharing tests gave each reader all routes at each read. Real readers watch from a revision and never see what is older again, so these tests could not show that a revision is recorded too early.

Readers now watch from the revision that they last had, and list when they have none. The explorer prints what nodes know that did not converge.

--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -91,6 +91,12 @@
 
 	(void)reason;
 	node->is_store_reader = is_store_reader;
+	if (is_store_reader && sharing_is_synced(node->sharing) &&
+	    (!node->store_is_synced ||
+	     node->replica_status.revision > node->store_revision)) {
+		node->store_revision = node->replica_status.revision;
+		node->store_is_synced = true;
+	}
 }
 
 static void leader_ignore(void *context, uint32_t address, const char *reason)
@@ -182,6 +188,8 @@
 	node->zone = zone;
 	node->starts++;
 	memset(&node->replica_status, 0, sizeof(node->replica_status));
+	node->store_is_synced = false;
+	node->store_revision = 0;
 	node->steering = steering_create(&steering_options);
 	options.steering = node->steering;
 	node->sharing = sharing_create(&options);
@@ -196,9 +204,11 @@
 	memset(network, 0, sizeof(*network));
 	manual_clock_init(&network->clock, 1000 * NS_PER_S);
 	network->hosts = g_ptr_array_new_with_free_func(g_free);
-	network->withdrawn = g_ptr_array_new_with_free_func(g_free);
+	network->withdrawn =
+		g_array_new(FALSE, FALSE, sizeof(struct withdrawal));
 	network->random = g_rand_new_with_seed(7);
 	network->node_count = nodes;
+	network->zone_count = zones;
 	for (uint32_t i = 0; i < nodes; i++) {
 		struct node *node = &network->nodes[i];
 
@@ -268,7 +278,7 @@
 		node_stop(&network->nodes[i]);
 	g_queue_clear_full(&network->packets, packet_free);
 	g_ptr_array_unref(network->hosts);
-	g_ptr_array_unref(network->withdrawn);
+	g_array_unref(network->withdrawn);
 	g_rand_free(network->random);
 	routing_unref(network->routing);
 }
@@ -294,33 +304,56 @@
 	}
 }
 
-static void store_read(struct network *network, struct node *node)
+/* Applies what was published after the revision that the node watches from. */
+static void store_changes_apply(struct network *network, struct node *node,
+				struct host_listing *listing)
 {
 	struct host_table *hosts = steering_hosts(node->steering);
-	bool is_newer = network->store_revision > node->replica_status.revision;
+	uint64_t after = listing ? 0 : node->store_revision;
+	int64_t now_ns = network->clock.now_ns;
+
+	for (guint i = 0; i < network->hosts->len; i++) {
+		const struct host_announcement *host =
+			g_ptr_array_index(network->hosts, i);
+
+		if (host->revision > after)
+			host_listing_put(listing, hosts, host, now_ns);
+	}
+	for (guint i = 0; !listing && i < network->withdrawn->len; i++) {
+		const struct withdrawal *withdrawal = &g_array_index(
+			network->withdrawn, struct withdrawal, i);
+
+		if (withdrawal->revision > after)
+			host_table_remove(hosts, withdrawal->id,
+					  withdrawal->revision, now_ns);
+	}
+	if (network->routing && network->routing_revision > after)
+		steering_set_routing(node->steering, network->routing);
+}
+
+static void store_read(struct network *network, struct node *node)
+{
+	struct replica_status *replica_status = &node->replica_status;
+	bool is_newer = network->store_revision > replica_status->revision;
 	int64_t now_ns = network->clock.now_ns;
 	struct host_listing *listing = NULL;
 
 	node->store_calls++;
 	if (network->is_store_down || node->is_rejected)
 		return;
-	if (!node->replica_status.is_complete)
+	if (!node->store_is_synced)
 		listing = host_listing_create(network->store_revision);
-	for (guint i = 0; i < network->hosts->len; i++)
-		host_listing_put(listing, hosts,
-				 g_ptr_array_index(network->hosts, i), now_ns);
-	for (guint i = 0; i < network->withdrawn->len; i++)
-		host_table_remove(hosts,
-				  g_ptr_array_index(network->withdrawn, i),
-				  network->withdrawn_revision, now_ns);
+	store_changes_apply(network, node, listing);
 	if (listing)
-		host_listing_finish(listing, hosts, now_ns);
+		host_listing_finish(listing, steering_hosts(node->steering),
+				    now_ns);
 	host_listing_destroy(listing);
-	if (network->routing)
-		steering_set_routing(node->steering, network->routing);
-	node->replica_status.is_complete = true;
-	node->replica_status.revision = network->store_revision;
-	node->replica_status.confirmed_ns = now_ns;
+	node->store_is_synced = true;
+	node->store_revision = network->store_revision;
+	replica_status->is_complete = true;
+	replica_status->revision =
+		MAX(replica_status->revision, network->store_revision);
+	replica_status->confirmed_ns = now_ns;
 	if (is_newer)
 		sharing_push(node->sharing);
 }
@@ -432,20 +465,20 @@
 
 void network_withdraw_host(struct network *network, uint32_t number)
 {
-	char id[HOST_ID_BYTES_MAX + 1];
+	struct withdrawal withdrawal = { 0 };
 
-	g_snprintf(id, sizeof(id), "i-%04x", number);
+	g_snprintf(withdrawal.id, sizeof(withdrawal.id), "i-%04x", number);
 	for (guint i = 0; i < network->hosts->len; i++) {
 		struct host_announcement *known =
 			g_ptr_array_index(network->hosts, i);
 
-		if (strcmp(known->id, id) != 0)
+		if (strcmp(known->id, withdrawal.id) != 0)
 			continue;
 		g_ptr_array_remove_index(network->hosts, i);
 		break;
 	}
-	network->withdrawn_revision = ++network->store_revision;
-	g_ptr_array_add(network->withdrawn, g_strdup(id));
+	withdrawal.revision = ++network->store_revision;
+	g_array_append_val(network->withdrawn, withdrawal);
 }
 
 void network_publish_routes(struct network *network, uint64_t version,
@@ -467,7 +500,35 @@
 	}
 	routing_unref(network->routing);
 	network->routing = routing_create(version, 15000, rules, count);
-	network->store_revision++;
+	network->routing_revision = ++network->store_revision;
+}
+
+void network_open_filled(struct network *network, uint32_t nodes,
+			 uint32_t zones, uint32_t hosts, uint32_t routes)
+{
+	network_open(network, nodes, zones);
+	for (uint32_t i = 1; i <= hosts; i++)
+		network_publish_host(network, i, false);
+	network_publish_routes(network, 1, routes);
+	network_run(network, 5000);
+}
+
+struct node *network_find_reader(struct network *network, uint32_t zone)
+{
+	for (uint32_t i = zone; i < network->node_count;
+	     i += network->zone_count) {
+		if (network->nodes[i].is_store_reader &&
+		    !network->nodes[i].is_down)
+			return &network->nodes[i];
+	}
+	ck_abort_msg("no running node of the zone reads the store");
+	return NULL;
+}
+
+uint32_t network_node_index(const struct network *network,
+			    const struct node *node)
+{
+	return (uint32_t)(node - network->nodes);
 }
 
 uint32_t network_reader_count(const struct network *network)
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -12,6 +12,12 @@
 
 #define NODES_MAX 400
 
+/** A host that was removed from the store. */
+struct withdrawal {
+	char id[HOST_ID_BYTES_MAX + 1];
+	uint64_t revision;
+};
+
 struct node {
 	struct network *network;
 	uint32_t address;
@@ -24,6 +30,9 @@
 	bool is_down; /* sends and receives nothing */
 	uint32_t partition; /* only nodes of the same one are reachable */
 	bool is_rejected; /* the store rejects its requests */
+	/* The node watches the store from store_revision on. */
+	bool store_is_synced; /* else it has to list */
+	uint64_t store_revision;
 	int64_t store_read_ns; /* last read of the store */
 	int64_t listing_end_ns; /* of its store listing; 0 for none */
 	int64_t start_ns; /* down until then; 0 if it was started */
@@ -38,14 +47,15 @@
 	uint32_t elapsed_ms;
 	struct node nodes[NODES_MAX];
 	uint32_t node_count;
+	uint32_t zone_count; /* node i is in zone i % zone_count */
 	bool is_store_down;
 	uint32_t listing_ms; /* time of a listing on the store's link */
 	int64_t link_free_ns; /* the store's link is busy until then */
 	uint64_t store_revision;
-	GPtrArray *withdrawn; /* ids, char * */
-	uint64_t withdrawn_revision;
+	GArray *withdrawn; /* struct withdrawal */
 	GPtrArray *hosts; /* published, struct host_announcement */
 	struct routing *routing; /* published */
+	uint64_t routing_revision;
 	GQueue packets; /* in flight, by time of delivery */
 	GRand *random;
 	uint32_t loss_permille;
@@ -55,6 +65,9 @@
 
 /** Spreads nodes over the zones; the first three nodes are the seeds. */
 void network_open(struct network *network, uint32_t nodes, uint32_t zones);
+/** Opens a network, publishes hosts and routes and waits until all know them. */
+void network_open_filled(struct network *network, uint32_t nodes,
+			 uint32_t zones, uint32_t hosts, uint32_t routes);
 void network_close(struct network *network);
 void network_run(struct network *network, uint32_t ms);
 /** Publishes a host or changes it; returns its revision. */
@@ -63,6 +76,10 @@
 void network_withdraw_host(struct network *network, uint32_t number);
 void network_publish_routes(struct network *network, uint64_t version,
 			    uint32_t count);
+/** A running node of the zone that reads the store; the test fails if none. */
+struct node *network_find_reader(struct network *network, uint32_t zone);
+uint32_t network_node_index(const struct network *network,
+			    const struct node *node);
 /** Number of nodes that read the store. */
 uint32_t network_reader_count(const struct network *network);
 /** Number of nodes that are up and have @revision and the routes. */
--- a/tests/sharing/test_explore.c
+++ b/tests/sharing/test_explore.c
@@ -211,11 +211,51 @@
 	}
 }
 
+/* What a node that has not converged knows, and whom it follows. */
+static void node_print(uint32_t index)
+{
+	const struct node *node = &network.nodes[index];
+	const struct routing *routing = steering_routing(node->steering);
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	sharing_print_json(node->sharing, builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	printf("node %u: revision=%" PRIu64 " of %" PRIu64
+	       " routes_version=%" PRIu64 " of %" PRIu64 " sharing=%s\n",
+	       index, node->replica_status.revision, network.store_revision,
+	       routing ? routing->version : 0, network.routing->version, text);
+	g_free(text);
+	json_node_unref(root);
+	g_object_unref(builder);
+}
+
+static void unsynced_nodes_print(void)
+{
+	for (uint32_t i = 0; i < network.node_count; i++) {
+		const struct node *node = &network.nodes[i];
+		const struct routing *routing =
+			steering_routing(node->steering);
+
+		if (!routing || routing->version < network.routing->version ||
+		    node->replica_status.revision < network.store_revision)
+			node_print(i);
+	}
+	/* A failed check ends the process without writing its output. */
+	fflush(stdout);
+}
+
 static void convergence_check(uint32_t seed)
 {
 	uint32_t synced =
 		network_synced_count(&network, network.store_revision);
 
+	if (synced != network.node_count)
+		unsynced_nodes_print();
 	ck_assert_msg(synced == network.node_count,
 		      "seed %u: %u of %u nodes are synced", seed, synced,
 		      network.node_count);
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -20,18 +20,9 @@
 
 static struct network network;
 
-static void network_fill(uint32_t nodes)
-{
-	network_open(&network, nodes, ZONES);
-	for (uint32_t i = 1; i <= HOSTS; i++)
-		network_publish_host(&network, i, false);
-	network_publish_routes(&network, 1, ROUTES);
-	network_run(&network, 5000);
-}
-
 static void setup(void)
 {
-	network_fill(NODES);
+	network_open_filled(&network, NODES, ZONES, HOSTS, ROUTES);
 }
 
 static void teardown(void)
@@ -39,27 +30,6 @@
 	network_close(&network);
 }
 
-static struct node *reader_find(uint32_t zone)
-{
-	for (uint32_t i = zone; i < network.node_count; i += ZONES) {
-		if (network.nodes[i].is_store_reader)
-			return &network.nodes[i];
-	}
-	ck_abort_msg("no node of the zone reads the store");
-	return NULL;
-}
-
-static struct node *running_reader_find(uint32_t zone)
-{
-	for (uint32_t i = zone; i < network.node_count; i += ZONES) {
-		if (network.nodes[i].is_store_reader &&
-		    !network.nodes[i].is_down)
-			return &network.nodes[i];
-	}
-	ck_abort_msg("no running node of the zone reads the store");
-	return NULL;
-}
-
 START_TEST(one_reader_per_zone) {
 	ck_assert_uint_eq(network_reader_count(&network), ZONES);
 	ck_assert_uint_eq(network_synced_count(&network, HOSTS), NODES);
@@ -91,7 +61,7 @@
 
 /* Sent in full, 1,400 routes are 60 KB for each of the nine followers. */
 START_TEST(only_changed_routes_are_sent) {
-	struct node *reader = reader_find(0);
+	struct node *reader = network_find_reader(&network, 0);
 	uint64_t before;
 
 	network_run(&network, 2000);
@@ -107,8 +77,8 @@
 
 /* A restarted reader does not have the earlier versions. */
 START_TEST(restarted_reader_sends_all_routes) {
-	struct node *reader = reader_find(0);
-	uint32_t index = reader->address - network.nodes[0].address;
+	struct node *reader = network_find_reader(&network, 0);
+	uint32_t index = network_node_index(&network, reader);
 
 	network_publish_routes(&network, 2, 3);
 	network_restart(&network, index);
@@ -126,7 +96,7 @@
 START_TEST(failed_reader_is_replaced) {
 	uint64_t revision;
 
-	reader_find(0)->is_down = true;
+	network_find_reader(&network, 0)->is_down = true;
 	network_run(&network, 500);
 	revision = network_publish_host(&network, 8, true);
 	/* The shortest deadline for applying a configuration. */
@@ -137,7 +107,7 @@
 END_TEST
 
 START_TEST(reader_rejected_by_store_is_skipped) {
-	struct node *reader = reader_find(1);
+	struct node *reader = network_find_reader(&network, 1);
 	uint64_t revision;
 
 	reader->is_rejected = true;
@@ -155,14 +125,14 @@
  * the followers have to find these before the deadline of a change.
  */
 START_TEST(rejected_first_ranks_do_not_delay_updates) {
-	struct node *reader = reader_find(_i);
+	struct node *reader = network_find_reader(&network, _i);
 	uint64_t revision;
 
 	reader->is_rejected = true;
 	reader->is_down = true;
 	network_run(&network, 3000);
 	/* The second rank reads now. */
-	running_reader_find(_i)->is_rejected = true;
+	network_find_reader(&network, _i)->is_rejected = true;
 	reader->is_down = false;
 	network_run(&network, 100);
 	revision = network_publish_host(&network, 9, true);
@@ -180,7 +150,7 @@
 START_TEST(not_all_nodes_call_the_store_in_an_outage) {
 	uint32_t calls = 0;
 
-	network_fill(OUTAGE_NODES);
+	network_open_filled(&network, OUTAGE_NODES, ZONES, HOSTS, ROUTES);
 	for (uint32_t i = 0; i < OUTAGE_NODES; i++)
 		network.nodes[i].store_calls = 0;
 	network.is_store_down = true;
@@ -217,8 +187,8 @@
  * truncate the listing.
  */
 START_TEST(pushes_during_a_listing_lose_no_host) {
-	struct node *reader = reader_find(0);
-	uint32_t index = reader->address - network.nodes[0].address;
+	struct node *reader = network_find_reader(&network, 0);
+	uint32_t index = network_node_index(&network, reader);
 	uint32_t other = (index + ZONES) % NODES;
 	uint64_t listings = 0;
 
@@ -259,8 +229,8 @@
 
 /* Listings for all followers at once would overload a restarted reader. */
 START_TEST(restarted_reader_is_not_asked_for_listings) {
-	struct node *reader = reader_find(0);
-	uint32_t index = reader->address - network.nodes[0].address;
+	struct node *reader = network_find_reader(&network, 0);
+	uint32_t index = network_node_index(&network, reader);
 	uint64_t before = listings_count();
 	uint64_t revision;
 
@@ -296,7 +266,7 @@
 END_TEST
 
 START_TEST(open_flows_of_a_zone_are_summed) {
-	struct node *reader = reader_find(0);
+	struct node *reader = network_find_reader(&network, 0);
 
 	for (uint32_t i = 0; i < NODES; i += ZONES)
 		host_table_find(steering_hosts(network.nodes[i].steering),
@@ -386,7 +356,7 @@
 {
 	uint64_t bytes = 0;
 
-	network_fill(nodes);
+	network_open_filled(&network, nodes, ZONES, HOSTS, ROUTES);
 	network_run(&network, 10000);
 	for (uint32_t i = 0; i < nodes; i++) {
 		network.nodes[i].bytes_sent = 0;
