Give up transfers of routes that are obsolete or stand still

A balancer that starts receives routes from a member in chunks and may read the store at once. If the store's routes came first, the transfer stayed pending: each poll asked for its next chunk, the answers carried no hosts, and each counted as a confirmation. Changes of hosts came by pushes only.

A transfer is now bound to its source and to the version that it is based on. It ends when its version is held, the base changes, the leader changes, or no chunk comes for 1 s; polls of other members ask for changes as usual. A member that is asked for a chunk that it does not have answers with changes of hosts.

--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -34,7 +34,7 @@
 	sharing->zone = self.zone;
 	sharing->members = members_create(&self);
 	sharing->random = g_rand_new_with_seed((guint32)options->random_seed);
-	sharing->incoming_routes = g_byte_array_new();
+	sharing->routes_transfer.bytes = g_byte_array_new();
 	sharing->encoded_routes = g_hash_table_new_full(
 		NULL, NULL, NULL, (GDestroyNotify)g_byte_array_unref);
 	sharing->followers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -51,7 +51,7 @@
 		return;
 	members_destroy(sharing->members);
 	g_rand_free(sharing->random);
-	g_byte_array_unref(sharing->incoming_routes);
+	g_byte_array_unref(sharing->routes_transfer.bytes);
 	host_listing_destroy(sharing->listing);
 	for (size_t i = 0; i < RECENT_ROUTES_MAX; i++)
 		routing_unref(sharing->recent_routes[i]);
@@ -108,6 +108,7 @@
 					  now_ns);
 	follow_set_leader(sharing, leader_find(sharing, now_ns),
 			  is_stale ? "leader_is_stale" : "rank");
+	routes_tick(sharing, now_ns);
 	follow_tick(sharing, now_ns);
 	serve_tick(sharing, now_ns);
 	store_reader_tick(sharing, now_ns);
@@ -213,7 +214,7 @@
 	json_member_integer(builder, "announced_routes_version",
 			    (int64_t)sharing->announced_routes_version);
 	json_member_integer(builder, "incoming_routes_version",
-			    (int64_t)sharing->incoming_routes_version);
+			    (int64_t)sharing->routes_transfer.version);
 	for (int i = 0; i < SHARING_COUNTERS; i++)
 		json_member_integer(builder, sharing_counter_names[i],
 				    (int64_t)sharing->counters[i]);
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -20,8 +20,8 @@
 	sharing->next_poll_ns = 0;
 	sharing->consecutive_poll_timeouts = 0;
 	sharing->last_fresh_update_ns = 0;
-	/* The first routes come from the alternate, not from the leader. */
-	if (sharing_is_synced(sharing))
+	/* A transfer from the alternate goes on. */
+	if (sharing->routes_transfer.source != sharing->alternate)
 		routes_drop(sharing, "leader_changed");
 	sharing->counters[SHARING_LEADER_CHANGES]++;
 	sharing->options.on_leader_changed(sharing->options.context, leader,
@@ -131,7 +131,8 @@
 	} else if (update->chunk == 0 && !update->needs_listing) {
 		wants_more = host_changes_apply(sharing, update, now_ns);
 	}
-	return routes_handle_chunk(sharing, address, update) || wants_more;
+	return routes_handle_chunk(sharing, address, update, now_ns) ||
+	       wants_more;
 }
 
 static void leader_record_response(struct sharing *sharing, uint32_t address,
--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -6,21 +6,18 @@
 
 void poll_send(struct sharing *sharing, uint32_t address)
 {
-	const struct routing *routing =
-		steering_routing(sharing->options.steering);
 	struct sharing_message poll = {
 		.kind = SHARING_POLL,
 		.revision = sharing->options.replica_status->revision,
-		.routes_version = routing && !sharing->needs_all_routes
-					  ? routing->version
-					  : 0,
+		.routes_version =
+			sharing->needs_all_routes ? 0 : routes_version(sharing),
 	};
 
 	if (address == sharing->listing_source) {
 		poll.is_listing = true;
 		g_strlcpy(poll.cursor, sharing->cursor, sizeof(poll.cursor));
-	} else if (sharing->incoming_routes_version != 0) {
-		poll.chunk = sharing->incoming_routes_next_chunk;
+	} else {
+		poll.chunk = routes_next_chunk(sharing, address);
 	}
 	poll.load_count = serve_loads_fill(sharing, false, poll.loads);
 	sharing->reported_load_count = poll.load_count;
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -189,19 +189,15 @@
 	}
 	if (follower && !message->is_listing)
 		follower->listing_ns = 0;
-	if (message->chunk > 0) {
-		/* Hosts do not fit beside a chunk of routes. */
-		update.revision = message->revision;
-		update.base_revision = message->revision;
-		chunk_fill(sharing, message->routes_version, message->chunk,
-			   &update);
-	} else {
-		chunk_fill(sharing, 0, 0, &update);
+	update.revision = message->revision;
+	update.base_revision = message->revision;
+	chunk_fill(sharing, message->routes_version, message->chunk, &update);
+	/* Hosts do not fit beside a chunk of routes. */
+	if (update.chunk == 0)
 		hosts_fill(sharing, message->revision, message->is_listing,
 			   message->cursor, now_ns, &update);
-	}
 	/* Loads do not fit beside routes or hosts. */
-	if (message->chunk == 0 && (!update.hosts || update.hosts->len == 0))
+	if (update.chunk == 0 && (!update.hosts || update.hosts->len == 0))
 		update.load_count =
 			serve_loads_fill(sharing, true, update.loads);
 	update_send(sharing, address, &update, now_ns);
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -24,6 +24,8 @@
 #define REPLICA_AGE_MAX_NS (1500 * NS_PER_MS)
 /** How long a member with a newer replica is polled besides the leader. */
 #define ALTERNATE_DURATION_NS (2 * NS_PER_S)
+/** A transfer of routes without a chunk for this long is given up. */
+#define ROUTES_TIMEOUT_NS (1 * NS_PER_S)
 /** Time after which a missing page of a listing is requested again. */
 #define PAGE_RETRY_NS (100 * NS_PER_MS)
 /** A listing without a page for this long is restarted from another member. */
@@ -54,6 +56,19 @@
 	size_t load_count;
 };
 
+/**
+ * Routes being received in chunks. Only the chunks of one source with one base
+ * fit together.
+ */
+struct routes_transfer {
+	uint64_t version; /* 0 for none */
+	uint64_t base_version; /* version held at its begin */
+	uint32_t source;
+	uint32_t next_chunk; /* from 1 */
+	int64_t progress_ns; /* time of the announcement, or of the last chunk */
+	GByteArray *bytes;
+};
+
 struct sharing {
 	struct sharing_options options;
 	uint32_t zone;
@@ -96,9 +111,7 @@
 
 	/* Routes being received in chunks. */
 	uint64_t announced_routes_version; /* newest one, 0 for none */
-	uint64_t incoming_routes_version; /* 0 for none */
-	uint32_t incoming_routes_next_chunk; /* from 1 */
-	GByteArray *incoming_routes;
+	struct routes_transfer routes_transfer;
 	bool needs_all_routes; /* the incremental update did not match */
 
 	/* Serving. */
@@ -142,9 +155,15 @@
 /* Receiving routes in chunks: sharing_routes.c. */
 /** Ends a transfer; reports it unless it is complete. */
 void routes_drop(struct sharing *sharing, const char *reason);
+/** Version of the routes in force; 0 for none. */
+uint64_t routes_version(const struct sharing *sharing);
+/** Next chunk to request from the member at @address; 0 for none. */
+uint32_t routes_next_chunk(const struct sharing *sharing, uint32_t address);
+/** Gives up a transfer that is no longer needed or makes no progress. */
+void routes_tick(struct sharing *sharing, int64_t now_ns);
 /** Returns true if another chunk is to be requested at once. */
 bool routes_handle_chunk(struct sharing *sharing, uint32_t address,
-			 const struct sharing_message *update);
+			 const struct sharing_message *update, int64_t now_ns);
 
 /* The first listing, and the alternate: sharing_listing.c. */
 /** Requests updates, the next page of a listing or the next chunk of routes. */
--- a/tests/sharing/test_routes.c
+++ b/tests/sharing/test_routes.c
@@ -102,6 +102,72 @@
 }
 END_TEST
 
+/* A member of the zone that follows @reader. */
+static struct node *follower_find(const struct node *reader)
+{
+	uint32_t index = network_node_index(&network, reader);
+
+	return &network.nodes[(index + ZONES) % NODES];
+}
+
+/*
+ * Guards against a follower that goes on asking for a chunk of routes that it
+ * no longer needs, and gets no changes of hosts while it counts as up to date.
+ */
+START_TEST(obsolete_transfer_does_not_hide_host_changes) {
+	struct node *reader = network_find_reader(&network, 0);
+	struct node *follower = follower_find(reader);
+
+	routes_pass_on(reader, 1 + STEP_MS * _i);
+	network_read_now(&network, network_node_index(&network, follower));
+	network_run(&network, 100);
+	network_publish_host(&network, 7, true);
+	/* The change is not pushed. */
+	network.loss_permille = 1000;
+	network_read_now(&network, network_node_index(&network, reader));
+	network.loss_permille = 0;
+	network_run(&network, APPLY_MS);
+	ck_assert(host_table_find(steering_hosts(follower->steering), "i-0007")
+			  ->published.is_draining);
+}
+END_TEST
+
+/*
+ * Guards against chunks of two encodings in one transfer: the follower gets
+ * other routes during a transfer, so that the next chunk has another base.
+ */
+START_TEST(transfer_restarts_when_its_base_changes) {
+	struct node *reader = network_find_reader(&network, 0);
+	struct node *follower = follower_find(reader);
+	struct routing *routing = routing_create(2, 1000, NULL, 0);
+
+	network_publish_routes(&network, 3, ROUTES / 2);
+	network_read_now(&network, network_node_index(&network, reader));
+	network_run(&network, 1 + STEP_MS * _i);
+	steering_set_routing(follower->steering, routing);
+	routing_unref(routing);
+	/* The follower does not get the routes from the store. */
+	follower->is_rejected = true;
+	network_run(&network, APPLY_MS);
+	routes_check(NULL, 3);
+	ck_assert_uint_eq(steering_routing(follower->steering)->rule_count,
+			  ROUTES / 2);
+}
+END_TEST
+
+/* Guards against routes that are lost with datagrams, for good. */
+START_TEST(lost_datagrams_lose_no_routes) {
+	struct node *reader = network_find_reader(&network, 0);
+
+	routes_pass_on(reader, 1 + STEP_MS * _i);
+	network.loss_permille = 300;
+	network_run(&network, APPLY_MS);
+	network.loss_permille = 0;
+	network_run(&network, APPLY_MS);
+	routes_check(NULL, 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("routes");
@@ -116,6 +182,11 @@
 			    STEPS);
 	tcase_add_loop_test(cases, routes_survive_a_change_of_the_leader, 0,
 			    STEPS);
+	tcase_add_loop_test(cases, obsolete_transfer_does_not_hide_host_changes,
+			    0, STEPS);
+	tcase_add_loop_test(cases, transfer_restarts_when_its_base_changes, 0,
+			    STEPS);
+	tcase_add_loop_test(cases, lost_datagrams_lose_no_routes, 0, STEPS);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
