Test entries with numbers and ports out of range

Other operators reported that one odd entry among those of the hosts ended the machines that read the list, or kept them from following it. Deep nesting was covered (deeply_nested_values_are_rejected). The new test puts 15 entries with a number or port out of range beside a valid one: each names no host, the valid one holds, and the response is accepted. It passes without a change of the code, so the report does not apply here.

--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -96,6 +96,64 @@
 }
 END_TEST
 
+#define NUMBERED(address, slots, cold, born)                              \
+	"{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"a\","  \
+	"\"slots\":" slots ",\"coldRemainingMs\":" cold ",\"born\":" born \
+	",\"state\":\"ready\"}"
+
+/*
+ * Guards against a balancer that ends, stops following the store, or uses a
+ * host because of one entry with a number or a port out of range.
+ */
+START_TEST(numbers_out_of_range_spoil_no_other_entry) {
+	static const char *const values[] = {
+		NUMBERED("10.9.0.9:65536", "3", "0", "1"),
+		NUMBERED("10.9.0.9:0", "3", "0", "1"),
+		NUMBERED("10.9.0.9:-1", "3", "0", "1"),
+		NUMBERED("10.9.0.9:99999999999999999999", "3", "0", "1"),
+		NUMBERED("10.9.0.9:", "3", "0", "1"),
+		NUMBERED("10.9.0.999:80", "3", "0", "1"),
+		NUMBERED("10.9.0.9:80", "65536", "0", "1"),
+		NUMBERED("10.9.0.9:80", "-3", "0", "1"),
+		NUMBERED("10.9.0.9:80", "3.5", "0", "1"),
+		NUMBERED("10.9.0.9:80", "1e400", "0", "1"),
+		/* 3 above a multiple of 2^64. */
+		NUMBERED("10.9.0.9:80", "18446744073709551619", "0", "1"),
+		NUMBERED("10.9.0.9:80", "3", "99999999999999999999", "1"),
+		NUMBERED("10.9.0.9:80", "3", "0", "9223372036854775808"),
+		NUMBERED("10.9.0.9:80", "3", "0", "18446744073709551617"),
+		NUMBERED("10.9.0.9:80", "3", "0", "1e999999999"),
+	};
+	static const char valid[] = HOST(",\"state\":\"ready\"");
+	struct error error = { 0 };
+	struct store_response *response;
+	char *odd_text =
+		g_base64_encode((const guchar *)values[_i], strlen(values[_i]));
+	char *valid_text =
+		g_base64_encode((const guchar *)valid, strlen(valid));
+	char *text = g_strdup_printf(
+		"{\"items\":[{\"key\":\"servers/i-1\",\"value\":\"%s\","
+		"\"revision\":4},{\"key\":\"servers/i-2\",\"value\":\"%s\","
+		"\"revision\":5}],\"currentRev\":5}",
+		odd_text, valid_text);
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+
+	response = store_response_parse(body, &error);
+	ck_assert_ptr_nonnull(response);
+	ck_assert_uint_eq(response->items->len, 2);
+	ck_assert_int_eq(
+		g_array_index(response->items, struct store_item, 0).kind,
+		STORE_ITEM_IGNORED);
+	ck_assert_int_eq(
+		g_array_index(response->items, struct store_item, 1).kind,
+		STORE_ITEM_HOST);
+	store_response_free(response);
+	g_bytes_unref(body);
+	g_free(odd_text);
+	g_free(valid_text);
+}
+END_TEST
+
 START_TEST(fields_of_a_host_are_read) {
 	static const char value[] = HOST(",\"state\":\"draining\"");
 	struct store_item item;
@@ -179,6 +237,8 @@
 
 	tcase_add_loop_test(cases, values_are_validated, 0, 16);
 	tcase_add_test(cases, deeply_nested_values_are_rejected);
+	tcase_add_loop_test(cases, numbers_out_of_range_spoil_no_other_entry, 0,
+			    15);
 	tcase_add_test(cases, fields_of_a_host_are_read);
 	tcase_add_test(cases, split_routes_follow_their_weights);
 	tcase_add_loop_test(cases, responses_are_validated, 0, 8);
