Raise the revision of a replica only with the routes that belong to it

Cause: an update announces routes and carries host changes up to a revision; the routes come in chunks afterwards. host_changes_apply() raised the revision of the replica at once. A follower whose leader failed, restarted, was outranked or was skipped because datagrams were lost then read the store from a revision that was newer than its routes, and the store never sent them again. Such a follower also passed its revision on: to members that polled it, and to a restarted reader that listed from it.

The revision is now raised only when the routes that were announced with it are held, and an update confirms the replica only if all of it was applied. A first listing counts as synced with the routes of its last page. After the last chunk the next poll follows at once and brings the revision. A leader is fresh by the age that it reports, so that a long transfer does not depose it.

--- a/include/sharing/sharing.h
+++ b/include/sharing/sharing.h
@@ -25,7 +25,13 @@
 /** Status of the local replica of the published state. */
 struct replica_status {
 	bool is_complete; /* a listing was applied completely */
-	uint64_t revision; /* all changes up to it were applied */
+	/*
+	 * All changes up to it were applied, those of the routes included. The
+	 * store is watched from it, so it must not be raised before they are.
+	 */
+	uint64_t revision;
+	/* Version of the routes that belong to the listing; 0 for none. */
+	uint64_t listed_routes_version;
 	int64_t confirmed_ns; /* last known to be up to date; 0 for never */
 	const char *source; /* of the last change: "none", "store" or "peer" */
 };
@@ -113,7 +119,7 @@
 /** Text of a balancer's address, "none" for 0. */
 const char *sharing_address_print(uint32_t address,
 				  char text[IP_ADDRESS_TEXT_BYTES]);
-/** True once all hosts, and the routes if there are any, were received. */
+/** True once all hosts, and the routes that belong to them, were received. */
 bool sharing_is_synced(const struct sharing *sharing);
 bool sharing_is_store_reader(const struct sharing *sharing);
 /**
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -33,6 +33,7 @@
 			    steering_hosts(balancer->steering),
 			    clock_now_ns(balancer->clock));
 	g_clear_pointer(&balancer->store_listing, host_listing_destroy);
+	balancer->replica_status.listed_routes_version = 0;
 	balancer->replica_status.is_complete = true;
 }
 
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -87,8 +87,9 @@
 	 */
 	message->revision = revision;
 	if (message->has_more)
-		message->revision =
-			host_revision(g_ptr_array_index(changed, count)) - 1;
+		message->revision = MIN(
+			host_revision(g_ptr_array_index(changed, count)) - 1,
+			revision);
 	message->base_revision = after;
 	g_ptr_array_unref(changed);
 }
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -83,6 +83,7 @@
 			       int64_t now_ns)
 {
 	struct replica_status *replica_status = sharing->options.replica_status;
+	bool is_newer = update->revision > replica_status->revision;
 
 	if (!replica_status->is_complete ||
 	    update->base_revision > replica_status->revision) {
@@ -91,28 +92,25 @@
 	}
 	replica_apply(steering_hosts(sharing->options.steering), NULL, update,
 		      now_ns);
+	if (routes_version(sharing) < update->routes_version)
+		return false;
 	replica_status->revision =
 		MAX(replica_status->revision, update->revision);
-	return update->has_more;
+	/* Without progress, the same changes would come again at once. */
+	return update->has_more && is_newer;
 }
 
-/*
- * Records when the replica was last known to be up to date: the age in the
- * update is counted back from @polled_ns.
- */
-static void confirmed_time_update(struct sharing *sharing,
-				  const struct sharing_message *update,
-				  bool is_leader, int64_t now_ns,
-				  int64_t polled_ns)
+/* True if the replica has all that the member had when it sent @update. */
+static bool update_is_applied(const struct sharing *sharing,
+			      const struct sharing_message *update)
 {
-	struct replica_status *replica_status = sharing->options.replica_status;
-	int64_t confirmed_ns =
-		polled_ns - (int64_t)update->update_age_ms * NS_PER_MS;
+	const struct replica_status *replica_status =
+		sharing->options.replica_status;
 
-	if (is_leader && now_ns - confirmed_ns <= MEMBER_REPLICA_AGE_MAX_NS)
-		sharing->last_fresh_update_ns = now_ns;
-	replica_status->confirmed_ns =
-		MAX(replica_status->confirmed_ns, confirmed_ns);
+	return replica_status->is_complete && update->chunk == 0 &&
+	       !update->has_more &&
+	       replica_status->revision >= update->revision &&
+	       routes_version(sharing) >= update->routes_version;
 }
 
 /* Returns true if the rest is to be requested at once. */
@@ -157,6 +155,9 @@
 	int64_t polled_ns = is_leader && sharing->poll_sent_ns != 0
 				    ? sharing->poll_sent_ns
 				    : now_ns;
+	int64_t confirmed_ns =
+		polled_ns - (int64_t)update->update_age_ms * NS_PER_MS;
+	struct replica_status *replica_status = sharing->options.replica_status;
 
 	if (!is_leader && !is_alternate) {
 		sharing->counters[SHARING_UPDATES_REJECTED]++;
@@ -171,16 +172,15 @@
 			alternate_replace(sharing, now_ns);
 		return;
 	}
-	if (update->needs_listing &&
-	    sharing->options.replica_status->is_complete) {
+	if (update->needs_listing && replica_status->is_complete) {
 		/* The member started recently; others have older changes. */
 		members_mark_unresponsive(sharing->members, address, now_ns);
 		return;
 	}
 	sharing->counters[SHARING_UPDATES_APPLIED]++;
-	sharing->options.replica_status->source = "peer";
-	sharing->awaits_routes = update->routes_version > 0 &&
-				 !steering_routing(sharing->options.steering);
+	replica_status->source = "peer";
+	if (is_leader && now_ns - confirmed_ns <= MEMBER_REPLICA_AGE_MAX_NS)
+		sharing->last_fresh_update_ns = now_ns;
 	if (update_apply(sharing, address, update, now_ns)) {
 		if (is_leader)
 			leader_poll(sharing, now_ns);
@@ -188,9 +188,9 @@
 			alternate_poll(sharing, now_ns);
 		return;
 	}
-	if (!sharing->options.replica_status->is_complete)
-		return;
 	if (is_leader && update->load_count > 0)
 		loads_apply(sharing, update);
-	confirmed_time_update(sharing, update, is_leader, now_ns, polled_ns);
+	if (update_is_applied(sharing, update))
+		replica_status->confirmed_ns =
+			MAX(replica_status->confirmed_ns, confirmed_ns);
 }
--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -162,6 +162,7 @@
 	host_listing_finish(sharing->listing, table, now_ns);
 	replica_status->revision = MAX(replica_status->revision,
 				       host_listing_revision(sharing->listing));
+	replica_status->listed_routes_version = update->routes_version;
 	replica_status->is_complete = true;
 	listing_clear(sharing);
 	return true;
--- a/sharing/sharing_routes.c
+++ b/sharing/sharing_routes.c
@@ -73,7 +73,8 @@
 	return transfer->next_chunk;
 }
 
-static void routes_finish(struct sharing *sharing)
+/* Returns false if the chunks do not make up the announced routes. */
+static bool routes_finish(struct sharing *sharing)
 {
 	const struct routes_transfer *transfer = &sharing->routes_transfer;
 	struct routing *routing =
@@ -88,6 +89,7 @@
 	else
 		sharing->counters[SHARING_MALFORMED]++;
 	routing_unref(routing);
+	return is_expected;
 }
 
 static bool chunk_append(struct sharing *sharing,
@@ -104,8 +106,8 @@
 	if (transfer->next_chunk <= update->chunk_count &&
 	    transfer->bytes->len < ROUTING_BYTES_MAX)
 		return true;
-	routes_finish(sharing);
-	return false;
+	/* The next poll gets the revision that belongs to the routes. */
+	return routes_finish(sharing);
 }
 
 bool routes_handle_chunk(struct sharing *sharing, uint32_t address,
--- a/sharing/sharing_send.c
+++ b/sharing/sharing_send.c
@@ -13,9 +13,11 @@
 
 bool sharing_is_synced(const struct sharing *sharing)
 {
-	return sharing->options.replica_status->is_complete &&
-	       (!sharing->awaits_routes ||
-		steering_routing(sharing->options.steering));
+	const struct replica_status *replica_status =
+		sharing->options.replica_status;
+
+	return replica_status->is_complete &&
+	       routes_version(sharing) >= replica_status->listed_routes_version;
 }
 
 bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns)
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -103,7 +103,6 @@
 	int64_t next_alternate_poll_ns;
 	/* Member that serves the current listing; 0 for none. */
 	uint32_t listing_source;
-	bool awaits_routes; /* there are routes, but none were received yet */
 	struct host_listing *listing; /* NULL before its first page */
 	char cursor[HOST_ID_BYTES_MAX + 1];
 	struct host_load reported_loads[HOST_LOADS_MAX]; /* in the last poll */
@@ -161,7 +160,7 @@
 uint32_t routes_next_chunk(const struct sharing *sharing, uint32_t address);
 /** Gives up a transfer that is no longer needed or makes no progress. */
 void routes_tick(struct sharing *sharing, int64_t now_ns);
-/** Returns true if another chunk is to be requested at once. */
+/** Returns true if the next poll is to follow at once. */
 bool routes_handle_chunk(struct sharing *sharing, uint32_t address,
 			 const struct sharing_message *update, int64_t now_ns);
 
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -344,9 +344,11 @@
 	if (!node->store_is_synced)
 		listing = host_listing_create(network->store_revision);
 	store_changes_apply(network, node, listing);
-	if (listing)
+	if (listing) {
 		host_listing_finish(listing, steering_hosts(node->steering),
 				    now_ns);
+		replica_status->listed_routes_version = 0;
+	}
 	host_listing_destroy(listing);
 	node->store_is_synced = true;
 	node->store_revision = network->store_revision;
--- a/tests/sharing/test_explore.c
+++ b/tests/sharing/test_explore.c
@@ -234,15 +234,23 @@
 	g_object_unref(builder);
 }
 
-static void unsynced_nodes_print(void)
+static bool node_is_unsynced(const struct node *node)
 {
-	for (uint32_t i = 0; i < network.node_count; i++) {
-		const struct node *node = &network.nodes[i];
-		const struct routing *routing =
-			steering_routing(node->steering);
+	const struct routing *routing = steering_routing(node->steering);
 
-		if (!routing || routing->version < network.routing->version ||
-		    node->replica_status.revision < network.store_revision)
+	return !routing || routing->version < network.routing->version ||
+	       node->replica_status.revision < network.store_revision;
+}
+
+static bool node_reads(const struct node *node)
+{
+	return node->is_store_reader;
+}
+
+static void nodes_print(bool (*is_chosen)(const struct node *node))
+{
+	for (uint32_t i = 0; i < network.node_count; i++) {
+		if (is_chosen(&network.nodes[i]))
 			node_print(i);
 	}
 	/* A failed check ends the process without writing its output. */
@@ -255,7 +263,7 @@
 		network_synced_count(&network, network.store_revision);
 
 	if (synced != network.node_count)
-		unsynced_nodes_print();
+		nodes_print(node_is_unsynced);
 	ck_assert_msg(synced == network.node_count,
 		      "seed %u: %u of %u nodes are synced", seed, synced,
 		      network.node_count);
@@ -295,6 +303,8 @@
 	steps_run(seed, SETTLE_MS);
 	convergence_check(seed);
 	steps_run(seed, ONE_READER_MS - SETTLE_MS);
+	if (network_reader_count(&network) != ZONES)
+		nodes_print(node_reads);
 	ck_assert_msg(network_reader_count(&network) == ZONES,
 		      "seed %u: %u store readers", seed,
 		      network_reader_count(&network));
