Keep removed hosts that were not known before their removal

A host that had left stayed in use on a balancer (explorer seed 10418): its removal came before its announcement, was forgotten because the host was not known, and the late announcement added the host for good. Members that polled such a balancer never heard of the removal either.

An update of a member carries all fields of a removed host, so it is now kept as removed, which rejects the late announcement and passes the removal on.

Seeds 1660 and 12684 still fail: there the removal comes from the store, without the fields. The explorer names the hosts that a node should not have.

--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -113,6 +113,19 @@
 	message->has_more = host != NULL;
 }
 
+/*
+ * A removed host that is not known is kept as well: its announcement may come
+ * late, and members that have it ask this balancer for the changes.
+ */
+static void removal_apply(struct host_table *table,
+			  const struct host_announcement *host, int64_t now_ns)
+{
+	if (host_table_find(table, host->id))
+		host_table_remove(table, host->id, host->revision, now_ns);
+	else
+		host_table_restore(table, host, host->revision, now_ns);
+}
+
 void replica_apply(struct host_table *table, struct host_listing *listing,
 		   const struct sharing_message *message, int64_t now_ns)
 {
@@ -121,8 +134,7 @@
 			&g_array_index(message->hosts, struct host_update, i);
 
 		if (update->is_removed)
-			host_table_remove(table, update->host.id,
-					  update->host.revision, now_ns);
+			removal_apply(table, &update->host, now_ns);
 		else
 			host_listing_put(listing, table, &update->host, now_ns);
 	}
--- a/tests/sharing/test_explore.c
+++ b/tests/sharing/test_explore.c
@@ -10,6 +10,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "network.h"
 #include "suite.h"
@@ -257,6 +258,36 @@
 	fflush(stdout);
 }
 
+static bool host_is_published(const char *id)
+{
+	for (guint i = 0; i < network.hosts->len; i++) {
+		const struct host_announcement *host =
+			g_ptr_array_index(network.hosts, i);
+
+		if (strcmp(host->id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The hosts that @node knows although they were withdrawn. */
+static void withdrawn_hosts_print(const struct node *node)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator,
+			       host_table_all(steering_hosts(node->steering)));
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct known_host *host = value;
+
+		if (!host->is_removed && !host_is_published(host->published.id))
+			printf("withdrawn host %s revision=%" PRIu64 "\n",
+			       host->published.id, host->published.revision);
+	}
+	fflush(stdout);
+}
+
 static void convergence_check(uint32_t seed)
 {
 	uint32_t synced =
@@ -271,6 +302,8 @@
 		uint32_t known = host_table_count(
 			steering_hosts(network.nodes[i].steering));
 
+		if (known != network.hosts->len)
+			withdrawn_hosts_print(&network.nodes[i]);
 		ck_assert_msg(known == network.hosts->len,
 			      "seed %u: node %u has %u of %u hosts", seed, i,
 			      known, network.hosts->len);
