Send pushed changes at once instead of at the next tick

Changes that a reader got from the store were queued for its followers and sent with the next tick, up to 100 ms later.

--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -112,8 +112,10 @@
 	replica_status->confirmed_ns =
 		MAX(replica_status->confirmed_ns, confirmed_ns);
 	balancer_sync_check(balancer);
-	if (is_newer)
-		sharing_push(balancer->sharing);
+	if (!is_newer)
+		return;
+	sharing_push(balancer->sharing);
+	edge_flush(balancer->sharing_edge);
 }
 
 static void store_reachability_changed(void *context, bool is_reachable,
