Announce a recovered replica to all members of a small zone

A balancer whose replica was stale and is up to date again tells four members picked at random, with repetition. In zones of up to five members each is told now.

--- a/sharing/sharing_gossip.c
+++ b/sharing/sharing_gossip.c
@@ -79,6 +79,25 @@
 	}
 }
 
+/* In a small zone, a random choice could miss the one member that waits. */
+static void members_send_announcement(struct sharing *sharing, int64_t now_ns)
+{
+	const GPtrArray *ranked = members_ranked(sharing->members);
+
+	if (ranked->len > ANNOUNCE_COUNT + 1) {
+		members_send_gossip(sharing, ANNOUNCE_COUNT,
+				    SHARING_GOSSIP_RESPONSE, now_ns);
+		return;
+	}
+	for (guint i = 0; i < ranked->len; i++) {
+		const struct member *member = g_ptr_array_index(ranked, i);
+
+		if (member->address != sharing->options.address)
+			gossip_send(sharing, member->address, sharing->zone,
+				    SHARING_GOSSIP_RESPONSE, now_ns);
+	}
+}
+
 /*
  * Tells the seeds and a few members that this balancer has an up-to-date
  * replica, when it has its first one and whenever it was stale before. Members
@@ -98,8 +117,7 @@
 	/* Starting balancers contact the seeds first, which pass it on. */
 	sharing->next_seed_gossip_ns = 0;
 	seeds_send_gossip(sharing, true, now_ns);
-	members_send_gossip(sharing, ANNOUNCE_COUNT, SHARING_GOSSIP_RESPONSE,
-			    now_ns);
+	members_send_announcement(sharing, now_ns);
 }
 
 void gossip_tick(struct sharing *sharing, int64_t now_ns)
--- a/tests/sharing/test_routes.c
+++ b/tests/sharing/test_routes.c
@@ -12,6 +12,7 @@
 
 #define NODES 30
 #define ZONES 3
+#define SMALL_NODES 4
 #define HOSTS 40
 #define ROUTES 1400
 /* The shortest deadline of the deployments for applying a configuration. */
@@ -168,6 +169,31 @@
 }
 END_TEST
 
+/*
+ * Guards against routes that come too late where the store refuses most
+ * balancers of a small zone, its reader among them.
+ */
+START_TEST(refused_balancers_of_a_small_zone_get_routes_in_time) {
+	struct node *reader;
+
+	network_close(&network);
+	network_open_filled(&network, SMALL_NODES, 1, HOSTS, ROUTES);
+	network_run(&network, 1 + 37 * _i);
+	reader = network_find_reader(&network, 0);
+	for (uint32_t i = 0; i < SMALL_NODES; i++)
+		network.nodes[i].is_rejected = &network.nodes[i] == reader ||
+					       i != (uint32_t)_i % SMALL_NODES;
+	if (network.nodes[_i % SMALL_NODES].is_rejected)
+		network.nodes[(_i + 1) % SMALL_NODES].is_rejected = false;
+	network_publish_routes(&network, 2, ROUTES);
+	network_run(&network, APPLY_MS);
+	for (uint32_t i = 0; i < SMALL_NODES; i++)
+		ck_assert_uint_eq(
+			steering_routing(network.nodes[i].steering)->version,
+			2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("routes");
@@ -187,6 +213,9 @@
 	tcase_add_loop_test(cases, transfer_restarts_when_its_base_changes, 0,
 			    STEPS);
 	tcase_add_loop_test(cases, lost_datagrams_lose_no_routes, 0, STEPS);
+	tcase_add_loop_test(
+		cases, refused_balancers_of_a_small_zone_get_routes_in_time, 0,
+		STEPS * 2);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
