Do not take ignored opening packets for the silence of a host

An opening packet without a response now makes the host suspect and has it probed, as an overdue handshake does; it gets no new flows while others can take them. It is ejected if probes show that it is down, or if packets of open flows stay unanswered.

The other tests of steering pass unchanged.

--- a/steering/host_monitor.c
+++ b/steering/host_monitor.c
@@ -119,6 +119,17 @@
 				 now_ns - flow->first_packet_ns);
 }
 
+/*
+ * A host at its limit of flows ignores opening packets and serves those that it
+ * has, so this only makes it suspect; the probe tells whether it is down.
+ */
+void monitor_ignored_opening(struct steering *steering, struct known_host *host,
+			     int64_t now_ns)
+{
+	host->health.is_handshake_overdue = true;
+	host_probe(steering, host, now_ns);
+}
+
 /*
  * Probes hosts whose handshakes are overdue. A crashed host answers an opening
  * packet with a reset, which only the caller sees; the caller retries at once,
@@ -132,8 +143,7 @@
 	while ((flow = flow_cache_take_overdue(steering->flows, before_ns))) {
 		if (!flow->host)
 			continue;
-		flow->host->health.is_handshake_overdue = true;
-		host_probe(steering, flow->host, now_ns);
+		monitor_ignored_opening(steering, flow->host, now_ns);
 	}
 }
 
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -115,7 +115,7 @@
 	bool has_progress = host->health.progress_ns > flow->first_packet_ns;
 
 	flow->has_copies = true;
-	monitor_retransmission(steering, host, now_ns);
+	monitor_ignored_opening(steering, host, now_ns);
 	/*
 	 * While the host responds to others, a lost packet is likelier than a
 	 * host that ignores this flow.
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -76,6 +76,9 @@
 		      int64_t now_ns);
 void monitor_retransmission(struct steering *steering, struct known_host *host,
 			    int64_t now_ns);
+/** An opening packet got no response in time: probes the host. */
+void monitor_ignored_opening(struct steering *steering, struct known_host *host,
+			     int64_t now_ns);
 /**
  * True if the host is no longer published, its grace period has passed, and it
  * shows no progress.
--- a/tests/steering/test_host_watch.c
+++ b/tests/steering/test_host_watch.c
@@ -351,6 +351,27 @@
 }
 END_TEST
 
+/*
+ * Guards against resets of the open flows of hosts that are at their limit of
+ * flows: such a host ignores opening packets and goes on serving.
+ */
+START_TEST(ignored_opening_packets_reset_no_open_flow) {
+	struct known_host *host = flow_open(&fixture, 1);
+
+	for (uint16_t port = 100; port < 130; port++) {
+		packet_syn(&fixture, port, 0);
+		fixture_advance(&fixture, 200);
+		packet_syn(&fixture, port, 1);
+		fixture_advance(&fixture, 400);
+		packet_syn(&fixture, port, 2);
+	}
+	ck_assert_uint_eq(fixture.reset_count, 0);
+	ck_assert_uint_eq(fixture.silence_count, 0);
+	ck_assert(health_is_suspect(&host->health));
+	ck_assert_uint_gt(fixture.probe_count, 0);
+}
+END_TEST
+
 START_TEST(full_host_gets_no_new_flow) {
 	struct known_host *host = fixture_host(&fixture, 1);
 
@@ -374,6 +395,7 @@
 	tcase_add_test(cases, stalled_balancer_ejects_no_host);
 	tcase_add_test(cases, host_that_serves_others_is_not_silent);
 	tcase_add_test(cases, late_acknowledgement_is_no_progress);
+	tcase_add_test(cases, ignored_opening_packets_reset_no_open_flow);
 	tcase_add_test(cases, full_host_gets_no_new_flow);
 	tcase_add_loop_test(cases, probe_results_cause_expected_resets, 0, 10);
 	tcase_add_test(cases, overdue_handshake_triggers_probe);
