Ignore entries that take a host to a service without a route

An id identifies one backend server, so an entry that takes a host in use to a service without a route is ignored, logged as announcement_ignored with both services and revisions. The opposite is accepted: the host's own entry replaces one that a starting balancer listed first.

An entry under the id of a live host that names a service in use cannot be told from a restart.

--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -52,6 +52,15 @@
 struct host_table;
 
 struct host_table_options {
+	/**
+	 * True if flows may go to hosts of the service. An announcement that
+	 * takes a host from such a service to another one is ignored, as it
+	 * comes from another program: the id identifies one backend server.
+	 */
+	bool (*is_service_used)(void *context, const char *service);
+	/** Such an announcement of @host was ignored. */
+	void (*on_rejected)(void *context, const struct known_host *host,
+			    const struct host_announcement *announcement);
 	/** The host was added, or its published properties changed. */
 	void (*on_changed)(void *context, const struct known_host *host,
 			   bool is_new);
--- a/include/steering/routing.h
+++ b/include/steering/routing.h
@@ -60,5 +60,7 @@
  */
 const char *route_rule_service(const struct route_rule *rule,
 			       uint64_t flow_hash);
+/** True if a route leads to the service. */
+bool routing_has_service(const struct routing *routing, const char *service);
 
 #endif
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -195,6 +195,22 @@
 			host->published.id, host->token);
 }
 
+void host_log_rejected(void *context, const struct known_host *host,
+		       const struct host_announcement *announcement)
+{
+	struct balancer *balancer = context;
+	char *service = g_strescape(announcement->service, NULL);
+
+	if (line_is_allowed(balancer, EVENT_HOST_CHANGED))
+		log_event(LOG_LEVEL_WARNING, "announcement_ignored",
+			  "host=%s revision=%" PRIu64 " service=\"%s\" "
+			  "known_service=%s known_revision=%" PRIu64
+			  " reason=\"no route leads to the service\"",
+			  host->published.id, announcement->revision, service,
+			  host->published.service, host->published.revision);
+	g_free(service);
+}
+
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted)
 {
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -138,6 +138,9 @@
 /** Logs the new published data of a host. */
 void host_log_changed(void *context, const struct known_host *host,
 		      bool is_new);
+/** Logs that an announcement of a known host was ignored. */
+void host_log_rejected(void *context, const struct known_host *host,
+		       const struct host_announcement *announcement);
 /** Logs that a host was removed or restarted. */
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted);
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -123,6 +123,20 @@
 		now_ns + announcement->slow_start_ms * NS_PER_MS;
 }
 
+static bool is_foreign(const struct host_table *table,
+		       const struct known_host *host,
+		       const struct host_announcement *announcement)
+{
+	const struct host_table_options *options = &table->options;
+
+	return !host->is_removed && host->published.service[0] != '\0' &&
+	       strcmp(host->published.service, announcement->service) != 0 &&
+	       options->is_service_used(options->context,
+					host->published.service) &&
+	       !options->is_service_used(options->context,
+					 announcement->service);
+}
+
 static void host_put(struct host_table *table,
 		     const struct host_announcement *announcement,
 		     int64_t now_ns)
@@ -134,6 +148,11 @@
 	if (host && (announcement->revision < host->published.revision ||
 		     announcement->revision < host->removed_revision))
 		return;
+	if (host && is_foreign(table, host, announcement)) {
+		table->options.on_rejected(table->options.context, host,
+					   announcement);
+		return;
+	}
 	if (!host)
 		host = host_add(table, announcement->id);
 	table->newest_revision =
--- a/steering/routing.c
+++ b/steering/routing.c
@@ -87,3 +87,16 @@
 	}
 	return NULL;
 }
+
+bool routing_has_service(const struct routing *routing, const char *service)
+{
+	for (size_t i = 0; i < routing->rule_count; i++) {
+		const struct route_rule *rule = &routing->rules[i];
+
+		for (uint32_t j = 0; j < rule->target_count; j++) {
+			if (strcmp(rule->targets[j].service, service) == 0)
+				return true;
+		}
+	}
+	return false;
+}
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -30,6 +30,24 @@
 	[STEERING_NO_TOKEN] = "no_token",
 };
 
+/* Without routes, any service may get one. */
+static bool service_is_used(void *context, const char *service)
+{
+	const struct steering *steering = context;
+
+	return !steering->routing ||
+	       routing_has_service(steering->routing, service);
+}
+
+static void host_rejected(void *context, const struct known_host *host,
+			  const struct host_announcement *announcement)
+{
+	const struct steering *steering = context;
+
+	steering->options.on_host_rejected(steering->options.context, host,
+					   announcement);
+}
+
 static void host_changed(void *context, const struct known_host *host,
 			 bool is_new)
 {
@@ -55,6 +73,8 @@
 {
 	struct steering *steering = g_new0(struct steering, 1);
 	const struct host_table_options host_options = {
+		.is_service_used = service_is_used,
+		.on_rejected = host_rejected,
 		.on_changed = host_changed,
 		.on_ended = host_ended,
 		.context = steering,
--- a/tests/sharing/test_replica.c
+++ b/tests/sharing/test_replica.c
@@ -27,9 +27,17 @@
 	(void)is_restarted;
 }
 
+static bool service_is_used(void *context, const char *service)
+{
+	(void)context;
+	(void)service;
+	return true;
+}
+
 static struct host_table *table_create(void)
 {
 	const struct host_table_options options = {
+		.is_service_used = service_is_used,
 		.on_changed = change_ignore,
 		.on_ended = end_ignore,
 	};
--- a/tests/steering/test_host_table.c
+++ b/tests/steering/test_host_table.c
@@ -162,6 +162,40 @@
 }
 END_TEST
 
+/*
+ * Guards against resets of the open flows of a live host because another
+ * program wrote an entry under its id.
+ */
+START_TEST(entry_of_another_program_resets_no_flow) {
+	struct host_announcement own;
+	struct host_announcement foreign;
+	struct known_host *host;
+
+	fixture_publish(&fixture, 1, "a");
+	host = flow_open(&fixture, 1);
+	own = host->published;
+	foreign = own;
+	foreign.started_ms += 1000;
+	foreign.port++;
+	foreign.revision += 10;
+	g_strlcpy(foreign.service, "elsewhere", sizeof(foreign.service));
+	fixture_put(&fixture, &foreign);
+	ck_assert_str_eq(host->published.service, own.service);
+	ck_assert_uint_eq(host->published.port, own.port);
+	own.revision += 20;
+	fixture_put(&fixture, &own);
+	ck_assert_uint_eq(fixture.reset_count, 0);
+	ck_assert_uint_eq(host->open_flows, 1);
+	/* The other way round, the entry with a route is taken. */
+	foreign = fixture_announcement(&fixture, 2, "a");
+	g_strlcpy(foreign.service, "elsewhere", sizeof(foreign.service));
+	fixture_put(&fixture, &foreign);
+	fixture_publish(&fixture, 2, "a");
+	ck_assert_str_eq(fixture_host(&fixture, 2)->published.service,
+			 own.service);
+}
+END_TEST
+
 START_TEST(removed_host_without_flows_is_freed) {
 	struct host_table *table = steering_hosts(fixture.steering);
 
@@ -223,6 +257,7 @@
 	tcase_add_test(cases, hosts_are_iterated_in_order);
 	tcase_add_test(cases, older_revisions_are_ignored);
 	tcase_add_test(cases, older_listing_restores_no_removed_host);
+	tcase_add_test(cases, entry_of_another_program_resets_no_flow);
 	tcase_add_test(cases, removed_host_without_flows_is_freed);
 	tcase_add_loop_test(cases, failover_share_follows_lost_capacity, 0, 4);
 	suite_add_tcase(suite, cases);
