Let a shared token mean the oldest host on each balancer

For open flows the token meant the host that the balancer learned of first; a balancer that starts lists hosts in the order of their ids, so there it could mean the other host, which resets packets of flows that it does not hold.

The token now means the host that started first, which each balancer finds alike. When that host is freed, the token passes to the next one, which may then take new flows; before, its token was unknown from then on.

--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -115,7 +115,10 @@
 void host_table_expire(struct host_table *table, int64_t before_ns);
 
 struct known_host *host_table_find(struct host_table *table, const char *id);
-/** Includes removed hosts. Returns NULL if no host has the token. */
+/**
+ * The oldest host that has the token, including removed ones; NULL if none
+ * has it.
+ */
 struct known_host *host_table_find_token(struct host_table *table,
 					 uint32_t token);
 /** Hosts of a service as struct known_host, including removed ones; or NULL. */
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -96,6 +96,41 @@
 	return host;
 }
 
+static bool is_older(const struct known_host *a, const struct known_host *b)
+{
+	if (a->published.started_ms != b->published.started_ms)
+		return a->published.started_ms < b->published.started_ms;
+	return strcmp(a->published.id, b->published.id) < 0;
+}
+
+/*
+ * Of several hosts with one token, the oldest one has its open flows: the others
+ * never got any. Each balancer has to find the same one, in whatever order it
+ * learned of them.
+ */
+static void token_owner_update(struct host_table *table, uint32_t token)
+{
+	struct known_host *oldest = NULL;
+	GHashTableIter iterator;
+	bool is_shared = false;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, table->by_id);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct known_host *host = value;
+
+		if (host->token != token)
+			continue;
+		is_shared = oldest != NULL;
+		if (!oldest || is_older(host, oldest))
+			oldest = host;
+	}
+	if (!oldest)
+		return;
+	oldest->has_token_conflict = is_shared;
+	g_hash_table_insert(table->by_token, GUINT_TO_POINTER(token), oldest);
+}
+
 /* The health observed of the old process does not apply to the new one. */
 static void host_restart(struct host_table *table, struct known_host *host)
 {
@@ -169,6 +204,8 @@
 		host->service_hosts = NULL;
 	}
 	announcement_apply(host, announcement, now_ns);
+	if (host->has_token_conflict)
+		token_owner_update(table, host->token);
 	if (!host->service_hosts)
 		service_add_host(table, host);
 	if (is_new)
@@ -305,6 +342,7 @@
 
 void host_table_expire(struct host_table *table, int64_t before_ns)
 {
+	GArray *shared_tokens = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -317,6 +355,8 @@
 		if (host_table_find_token(table, host->token) == host)
 			g_hash_table_remove(table->by_token,
 					    GUINT_TO_POINTER(host->token));
+		if (host->has_token_conflict)
+			g_array_append_val(shared_tokens, host->token);
 		g_ptr_array_remove_fast(host->service_hosts, host);
 		g_tree_remove(table->sorted, host->published.id);
 		table->oldest_revision =
@@ -324,6 +364,10 @@
 		table->generation++;
 		g_hash_table_iter_remove(&iterator);
 	}
+	for (guint i = 0; i < shared_tokens->len; i++)
+		token_owner_update(table,
+				   g_array_index(shared_tokens, uint32_t, i));
+	g_array_unref(shared_tokens);
 }
 
 struct known_host *host_table_find(struct host_table *table, const char *id)
--- a/tests/steering/test_host_table.c
+++ b/tests/steering/test_host_table.c
@@ -196,6 +196,38 @@
 }
 END_TEST
 
+/*
+ * Guards against balancers that send the packets of an open flow to another
+ * host with the same token, as they learned of the hosts in another order.
+ */
+START_TEST(token_belongs_to_the_oldest_host) {
+	static const char *const ids[] = { "i-eda6c3ff20", "i-208c8c7356" };
+	struct host_table *table = steering_hosts(fixture.steering);
+	uint32_t token = host_token(ids[0]);
+	int64_t start_ns = fixture.clock.now_ns;
+
+	ck_assert_uint_eq(token, host_token(ids[1]));
+	for (uint32_t i = 0; i < 2; i++) {
+		uint32_t age = (i + (uint32_t)_i) % 2;
+		struct host_announcement host =
+			fixture_announcement(&fixture, 1, "a");
+
+		g_strlcpy(host.id, ids[age], sizeof(host.id));
+		host.started_ms = 1000 + age;
+		fixture_put(&fixture, &host);
+	}
+	ck_assert_str_eq(host_table_find_token(table, token)->published.id,
+			 ids[0]);
+	for (uint32_t i = 0; i < 2; i++)
+		ck_assert(host_table_find(table, ids[i])->has_token_conflict);
+	host_table_remove(table, ids[0], fixture.revision + 10, start_ns);
+	host_table_expire(table, start_ns);
+	ck_assert_str_eq(host_table_find_token(table, token)->published.id,
+			 ids[1]);
+	ck_assert(!host_table_find(table, ids[1])->has_token_conflict);
+}
+END_TEST
+
 START_TEST(removed_host_without_flows_is_freed) {
 	struct host_table *table = steering_hosts(fixture.steering);
 
@@ -258,6 +290,7 @@
 	tcase_add_test(cases, older_revisions_are_ignored);
 	tcase_add_test(cases, older_listing_restores_no_removed_host);
 	tcase_add_test(cases, entry_of_another_program_resets_no_flow);
+	tcase_add_loop_test(cases, token_belongs_to_the_oldest_host, 0, 2);
 	tcase_add_test(cases, removed_host_without_flows_is_freed);
 	tcase_add_loop_test(cases, failover_share_follows_lost_capacity, 0, 4);
 	suite_add_tcase(suite, cases);
