Soak: kill, freeze and restart store readers while they pass routes on

It now publishes 110 idle routes, or 1,500 after a change of many, and the new faults reader-kill, reader-freeze and reader-return strike the reader of a zone within 100 ms of such a change, or change routes as it starts again.

--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -109,6 +109,7 @@
 	GHashTable *executed_requests;
 	uint64_t routes_version;
 	bool has_extra_route;
+	uint32_t idle_routes; /* published besides, without traffic */
 	int64_t routes_changed_ns;
 	int64_t last_tick_ns; /* when the loop last ran */
 	uint64_t next_host_id;
@@ -184,6 +185,10 @@
 /** Injects each fault at its time; exits at an unknown name. */
 void soak_scenario_run(struct soak *soak, const GPtrArray *scenario);
 
+/** Routes without traffic, at first and after the fault "routes-many". */
+#define SOAK_IDLE_ROUTES 110
+#define SOAK_IDLE_ROUTES_MANY 1500
+#define SOAK_IDLE_ROUTE_PORT 10000 /* of the first one */
 #define SOAK_SERVICE_ADDRESS 0xc6336401u /* 198.51.100.1 and .2 */
 #define SOAK_SERVICE_PORT 443
 #define SOAK_EXTRA_ROUTE_PORT 8443
--- a/include/standins/soak/soak_store.h
+++ b/include/standins/soak/soak_store.h
@@ -32,6 +32,8 @@
 /** Refuses the requests of balancer @index with status 503, or no longer. */
 void soak_store_set_refused(struct soak_store *store, uint32_t index,
 			    bool is_refused);
+/** True if balancer @index waits for changes. */
+bool soak_store_is_watched(const struct soak_store *store, uint32_t index);
 /** Discards the history: watches after an older revision get status 410. */
 void soak_store_compact(struct soak_store *store);
 
--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -6,6 +6,11 @@
 /* Longer than SOAK_DRAIN_BOUND_NS, so that late new flows are detected. */
 #define DRAIN_DURATION_MS 6500
 
+/* Longest time from a change until its reader is killed or frozen. */
+#define READER_FAULT_MAX_MS 100
+/* Longer than the time after which followers select another leader. */
+#define READER_DOWN_MS 3000
+
 /* Later step of a fault, such as its end. */
 struct scheduled_action {
 	int64_t due_ns;
@@ -72,7 +77,8 @@
 	soak_balancer_start(balancer);
 }
 
-static void balancer_kill(struct soak *soak, uint32_t index)
+static void balancer_kill_for(struct soak *soak, uint32_t index,
+			      uint32_t down_ms)
 {
 	struct soak_balancer *balancer = &soak->balancers[index];
 
@@ -81,7 +87,12 @@
 	balancer->should_run = false;
 	balancer_mark_disturbed(soak, index);
 	process_signal(balancer->process, SIGKILL);
-	schedule(soak, 300 + random_below(soak, 1500), index, balancer_restart);
+	schedule(soak, down_ms, index, balancer_restart);
+}
+
+static void balancer_kill(struct soak *soak, uint32_t index)
+{
+	balancer_kill_for(soak, index, 300 + random_below(soak, 1500));
 }
 
 static void fault_kill(struct soak *soak)
@@ -272,6 +283,104 @@
 	soak_routes_publish(soak, !soak->has_extra_route);
 }
 
+static void many_routes_change(struct soak *soak, bool has_extra_route)
+{
+	soak_fault_print(soak, "many routes change");
+	soak->idle_routes = soak->idle_routes == SOAK_IDLE_ROUTES
+				    ? SOAK_IDLE_ROUTES_MANY
+				    : SOAK_IDLE_ROUTES;
+	soak_routes_publish(soak, has_extra_route);
+}
+
+static void fault_routes_many(struct soak *soak)
+{
+	many_routes_change(soak, soak->has_extra_route);
+}
+
+/* A random balancer that reads the store; NULL if there is none. */
+static struct soak_balancer *reader_choose(struct soak *soak)
+{
+	uint32_t first = random_below(soak, soak->balancer_count);
+
+	for (uint32_t i = 0; i < soak->balancer_count; i++) {
+		uint32_t index = (first + i) % soak->balancer_count;
+
+		if (soak_store_is_watched(soak->store, index))
+			return &soak->balancers[index];
+	}
+	return NULL;
+}
+
+static gboolean reader_kill(gpointer data)
+{
+	struct soak_balancer *reader = data;
+
+	soak_fault_print(reader->soak, "kill reader b%u", reader->index);
+	balancer_kill_for(reader->soak, reader->index, READER_DOWN_MS);
+	return G_SOURCE_REMOVE;
+}
+
+/* The reader fails while it passes many routes on. */
+static void fault_reader_kill(struct soak *soak)
+{
+	struct soak_balancer *reader = reader_choose(soak);
+
+	if (!reader)
+		return;
+	many_routes_change(soak, !soak->has_extra_route);
+	g_timeout_add(random_below(soak, READER_FAULT_MAX_MS), reader_kill,
+		      reader);
+}
+
+static void reader_return(struct soak *soak, uint32_t index)
+{
+	balancer_restart(soak, index);
+	fault_routes_many(soak);
+	fault_routes(soak);
+}
+
+/* Routes change as a failed reader starts again. */
+static void fault_reader_return(struct soak *soak)
+{
+	struct soak_balancer *reader = reader_choose(soak);
+
+	if (!reader || !reader->should_run || reader->is_frozen)
+		return;
+	soak_fault_print(soak, "kill reader b%u", reader->index);
+	reader->should_run = false;
+	balancer_mark_disturbed(soak, reader->index);
+	process_signal(reader->process, SIGKILL);
+	schedule(soak, 300 + random_below(soak, 1500), reader->index,
+		 reader_return);
+}
+
+static gboolean reader_freeze(gpointer data)
+{
+	struct soak_balancer *reader = data;
+
+	if (!reader->should_run || reader->is_frozen)
+		return G_SOURCE_REMOVE;
+	soak_fault_print(reader->soak, "freeze reader b%u", reader->index);
+	process_signal(reader->process, SIGSTOP);
+	reader->is_frozen = true;
+	balancer_mark_disturbed(reader->soak, reader->index);
+	schedule(reader->soak, READER_DOWN_MS, reader->index,
+		 balancer_unfreeze);
+	return G_SOURCE_REMOVE;
+}
+
+/* The reader freezes while it passes many routes on. */
+static void fault_reader_freeze(struct soak *soak)
+{
+	struct soak_balancer *reader = reader_choose(soak);
+
+	if (!reader)
+		return;
+	many_routes_change(soak, !soak->has_extra_route);
+	g_timeout_add(random_below(soak, READER_FAULT_MAX_MS), reader_freeze,
+		      reader);
+}
+
 static void fault_malformed_entry(struct soak *soak)
 {
 	static const char *const values[] = { "{", "[]", "{\"service\":7}",
@@ -323,6 +432,10 @@
 	{ "routes", fault_routes, 2 },
 	{ "foreign", fault_malformed_entry, 1 },
 	{ "refusal", fault_refusal, 0 },
+	{ "routes-many", fault_routes_many, 0 },
+	{ "reader-kill", fault_reader_kill, 0 },
+	{ "reader-return", fault_reader_return, 0 },
+	{ "reader-freeze", fault_reader_freeze, 0 },
 };
 
 #define FAULT_WEIGHT_SUM 18
--- a/standins/soak/hosts.c
+++ b/standins/soak/hosts.c
@@ -364,6 +364,15 @@
 	host->disturbed_ns = soak_now(host->soak);
 }
 
+/* A route of the first service's address, to the first service. */
+static void route_print(GString *text, const char *name, uint32_t port)
+{
+	g_string_append_printf(text,
+			       ",{\"name\":\"%s\",\"host\":\"198.51.100.1\","
+			       "\"prefix\":\"/%u/\",\"service\":\"%s\"}",
+			       name, port, service_names[0]);
+}
+
 void soak_routes_publish(struct soak *soak, bool has_extra_route)
 {
 	GString *text = g_string_new(NULL);
@@ -381,11 +390,9 @@
 			i > 0 ? "," : "", i, 1 + i, SOAK_SERVICE_PORT,
 			service_names[i]);
 	if (has_extra_route)
-		g_string_append_printf(
-			text,
-			",{\"name\":\"x\",\"host\":\"198.51.100.1\","
-			"\"prefix\":\"/%u/\",\"service\":\"%s\"}",
-			SOAK_EXTRA_ROUTE_PORT, service_names[0]);
+		route_print(text, "x", SOAK_EXTRA_ROUTE_PORT);
+	for (uint32_t i = 0; i < soak->idle_routes; i++)
+		route_print(text, "idle", SOAK_IDLE_ROUTE_PORT + i);
 	g_string_append(text, "],\"limits\":{\"idleTimeoutMs\":15000}}");
 	soak_store_put(soak->store, "op/config", text->str);
 	g_string_free(text, TRUE);
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -66,6 +66,7 @@
 	soak->sharing_port = free_port_find();
 	soak->store_port = free_port_find();
 	soak->host_port = free_port_find();
+	soak->idle_routes = SOAK_IDLE_ROUTES;
 	soak->next_host_id = 0x1000 * (1 + soak->seed);
 	soak->executed_requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/standins/soak/soak_store.c
+++ b/standins/soak/soak_store.c
@@ -177,7 +177,8 @@
 	return G_SOURCE_REMOVE;
 }
 
-static bool request_is_refused(const struct soak_store *store,
+/* Index of the balancer that sent the request. */
+static uint32_t request_sender(const struct soak_store *store,
 			       SoupServerMessage *message)
 {
 	GSocketAddress *local = soup_server_message_get_local_address(message);
@@ -186,7 +187,13 @@
 	uint32_t in;
 
 	memcpy(&in, g_inet_address_to_bytes(address), sizeof(in));
-	return store->is_refused[ntohl(in) - store->address];
+	return ntohl(in) - store->address;
+}
+
+static bool request_is_refused(const struct soak_store *store,
+			       SoupServerMessage *message)
+{
+	return store->is_refused[request_sender(store, message)];
 }
 
 static void request_handle(SoupServer *server, SoupServerMessage *message,
@@ -261,6 +268,18 @@
 	store->is_refused[index] = is_refused;
 }
 
+bool soak_store_is_watched(const struct soak_store *store, uint32_t index)
+{
+	for (guint i = 0; i < store->watches->len; i++) {
+		const struct watch *watch =
+			g_ptr_array_index(store->watches, i);
+
+		if (request_sender(store, watch->message) == index)
+			return true;
+	}
+	return false;
+}
+
 void soak_store_destroy(struct soak_store *store)
 {
 	soup_server_disconnect(store->server);
