--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -6,13 +6,6 @@
 #define STEP_MS 10
 #define TICK_MS 100
 #define DELAY_NS (1 * NS_PER_MS)
-/*
- * Simulated readers read the store every 200 ms. Real ones do so once a second,
- * and at once after a change.
- */
-/* Hosts in a page of a listing. */
-#define STORE_PAGE_HOSTS 50
-#define STORE_INTERVAL_NS (200 * NS_PER_MS)
 #define FIRST_ADDRESS 0x0a000001
 #define SEEDS 3
 
@@ -313,103 +306,6 @@
 	}
 }
 
-/* Applies what was published after the revision that the node watches from. */
-static void store_changes_apply(struct network *network, struct node *node,
-				struct host_listing *listing)
-{
-	struct host_table *hosts = steering_hosts(node->steering);
-	uint64_t after = listing ? 0 : node->store_revision;
-	int64_t now_ns = network->clock.now_ns;
-
-	for (guint i = 0; i < network->hosts->len; i++) {
-		const struct host_announcement *host =
-			g_ptr_array_index(network->hosts, i);
-
-		if (host->revision > after)
-			host_listing_put(listing, hosts, host, now_ns);
-	}
-	for (guint i = 0; !listing && i < network->withdrawn->len; i++) {
-		const struct withdrawal *withdrawal = &g_array_index(
-			network->withdrawn, struct withdrawal, i);
-
-		if (withdrawal->revision > after)
-			host_table_remove(hosts, withdrawal->id,
-					  withdrawal->revision, now_ns);
-	}
-	if (network->routing && network->routing_revision > after)
-		steering_set_routing(node->steering, network->routing);
-}
-
-static void store_read(struct network *network, struct node *node)
-{
-	struct replica_status *replica_status = &node->replica_status;
-	bool is_newer = network->store_revision > replica_status->revision;
-	int64_t now_ns = network->clock.now_ns;
-	struct host_listing *listing = NULL;
-
-	node->store_calls++;
-	if (network->is_store_down || node->is_rejected)
-		return;
-	if (!node->store_is_synced)
-		listing = host_listing_create(network->store_revision);
-	store_changes_apply(network, node, listing);
-	if (listing) {
-		host_listing_finish(listing, steering_hosts(node->steering),
-				    now_ns);
-		replica_status->listed_routes_version = 0;
-	}
-	host_listing_destroy(listing);
-	node->store_is_synced = true;
-	node->store_revision = network->store_revision;
-	replica_status->is_complete = true;
-	replica_status->revision =
-		MAX(replica_status->revision, network->store_revision);
-	replica_status->confirmed_ns = now_ns;
-	if (is_newer)
-		sharing_push(node->sharing);
-}
-
-void network_read_now(struct network *network, uint32_t index)
-{
-	store_read(network, &network->nodes[index]);
-}
-
-static bool node_is_synced(const struct node *node)
-{
-	return node->replica_status.is_complete &&
-	       steering_routing(node->steering);
-}
-
-/*
- * Simulates a listing of several pages: the first page shows that there are
- * more, and the store's link transfers one listing after the other.
- */
-static void node_read(struct network *network, struct node *node)
-{
-	int64_t now_ns = network->clock.now_ns;
-
-	if (network->listing_ms > 0 && !node_is_synced(node)) {
-		if (node->listing_end_ns == 0) {
-			sharing_handle_first_page(node->sharing,
-						  network->hosts->len >
-							  STORE_PAGE_HOSTS);
-			if (!node->is_store_reader)
-				return;
-			network->link_free_ns =
-				MAX(network->link_free_ns, now_ns) +
-				network->listing_ms * NS_PER_MS;
-			node->listing_end_ns = network->link_free_ns;
-			node->store_listings++;
-		}
-		if (now_ns < node->listing_end_ns)
-			return;
-	}
-	if (now_ns - node->store_read_ns < STORE_INTERVAL_NS)
-		return;
-	node->store_read_ns = now_ns;
-	store_read(network, node);
-}
-
 static void nodes_step(struct network *network, bool is_tick)
 {
 	int64_t now_ns = network->clock.now_ns;
@@ -422,13 +318,13 @@
 		if (node->is_down)
 			continue;
 		if (node->is_store_reader)
-			node_read(network, node);
+			network_node_read(network, node);
 		else
 			node->listing_end_ns = 0;
-		if (node->synced_ns == 0 && node_is_synced(node))
+		if (node->synced_ns == 0 && network_node_is_synced(node))
 			node->synced_ns = now_ns;
 		if (is_tick ||
-		    (!node_is_synced(node) &&
+		    (!network_node_is_synced(node) &&
 		     network->elapsed_ms % SHARING_START_TICK_MS == 0))
 			sharing_tick(node->sharing);
 	}
@@ -445,75 +341,6 @@
 	}
 }
 
-uint64_t network_publish_host(struct network *network, uint32_t number,
-			      bool is_draining)
-{
-	struct host_announcement *host = NULL;
-	char id[HOST_ID_BYTES_MAX + 1];
-
-	g_snprintf(id, sizeof(id), "i-%04x", number);
-	for (guint i = 0; i < network->hosts->len; i++) {
-		struct host_announcement *known =
-			g_ptr_array_index(network->hosts, i);
-
-		if (strcmp(known->id, id) == 0)
-			host = known;
-	}
-	if (!host) {
-		host = g_new0(struct host_announcement, 1);
-		g_ptr_array_add(network->hosts, host);
-	}
-	g_strlcpy(host->id, id, sizeof(host->id));
-	g_strlcpy(host->service, "examen", sizeof(host->service));
-	g_strlcpy(host->zone, "a", sizeof(host->zone));
-	host->target_id = number;
-	host->port = 80;
-	host->slots = 2;
-	host->is_draining = is_draining;
-	host->revision = ++network->store_revision;
-	return host->revision;
-}
-
-void network_withdraw_host(struct network *network, uint32_t number)
-{
-	struct withdrawal withdrawal = { 0 };
-
-	g_snprintf(withdrawal.id, sizeof(withdrawal.id), "i-%04x", number);
-	for (guint i = 0; i < network->hosts->len; i++) {
-		struct host_announcement *known =
-			g_ptr_array_index(network->hosts, i);
-
-		if (strcmp(known->id, withdrawal.id) != 0)
-			continue;
-		g_ptr_array_remove_index(network->hosts, i);
-		break;
-	}
-	withdrawal.revision = ++network->store_revision;
-	g_array_append_val(network->withdrawn, withdrawal);
-}
-
-void network_publish_routes(struct network *network, uint64_t version,
-			    uint32_t count)
-{
-	struct route_rule *rules = g_new0(struct route_rule, count + 1);
-
-	for (uint32_t i = 0; i < count; i++) {
-		char text[IP_ADDRESS_TEXT_BYTES];
-
-		g_snprintf(text, sizeof(text), "198.18.%u.%u", i / 256,
-			   i % 256);
-		ip_address_parse(text, &rules[i].address);
-		rules[i].port = 443;
-		rules[i].target_count = 1;
-		rules[i].targets[0].weight = 1;
-		g_strlcpy(rules[i].targets[0].service, "examen",
-			  NAME_BYTES_MAX);
-	}
-	routing_unref(network->routing);
-	network->routing = routing_create(version, 15000, rules, count);
-	network->routing_revision = ++network->store_revision;
-}
-
 void network_open_filled(struct network *network, uint32_t nodes,
 			 uint32_t zones, uint32_t hosts, uint32_t routes)
 {
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -84,6 +84,10 @@
 uint32_t network_reader_count(const struct network *network);
 /** Number of nodes that are up and have @revision and the routes. */
 uint32_t network_synced_count(const struct network *network, uint64_t revision);
+/** True if the node knows all hosts and any routes. */
+bool network_node_is_synced(const struct node *node);
+/** A step of a node that reads the store. */
+void network_node_read(struct network *network, struct node *node);
 /** Lets a node read the store at once and push the changes. */
 void network_read_now(struct network *network, uint32_t index);
 /**
