--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -77,8 +77,10 @@
 	soak_balancer_start(balancer);
 }
 
-static void balancer_kill_for(struct soak *soak, uint32_t index,
-			      uint32_t down_ms)
+/* Kills the balancer, and calls @restart after @down_ms. */
+static void
+balancer_kill_for(struct soak *soak, uint32_t index, uint32_t down_ms,
+		  void (*restart)(struct soak *soak, uint32_t index))
 {
 	struct soak_balancer *balancer = &soak->balancers[index];
 
@@ -87,12 +89,13 @@
 	balancer->should_run = false;
 	balancer_mark_disturbed(soak, index);
 	process_signal(balancer->process, SIGKILL);
-	schedule(soak, down_ms, index, balancer_restart);
+	schedule(soak, down_ms, index, restart);
 }
 
 static void balancer_kill(struct soak *soak, uint32_t index)
 {
-	balancer_kill_for(soak, index, 300 + random_below(soak, 1500));
+	balancer_kill_for(soak, index, 300 + random_below(soak, 1500),
+			  balancer_restart);
 }
 
 static void fault_kill(struct soak *soak)
@@ -316,22 +319,11 @@
 	struct soak_balancer *reader = data;
 
 	soak_fault_print(reader->soak, "kill reader b%u", reader->index);
-	balancer_kill_for(reader->soak, reader->index, READER_DOWN_MS);
+	balancer_kill_for(reader->soak, reader->index, READER_DOWN_MS,
+			  balancer_restart);
 	return G_SOURCE_REMOVE;
 }
 
-/* The reader fails while it passes many routes on. */
-static void fault_reader_kill(struct soak *soak)
-{
-	struct soak_balancer *reader = reader_choose(soak);
-
-	if (!reader)
-		return;
-	many_routes_change(soak, !soak->has_extra_route);
-	g_timeout_add(random_below(soak, READER_FAULT_MAX_MS), reader_kill,
-		      reader);
-}
-
 static void reader_return(struct soak *soak, uint32_t index)
 {
 	balancer_restart(soak, index);
@@ -344,14 +336,11 @@
 {
 	struct soak_balancer *reader = reader_choose(soak);
 
-	if (!reader || !reader->should_run || reader->is_frozen)
+	if (!reader)
 		return;
 	soak_fault_print(soak, "kill reader b%u", reader->index);
-	reader->should_run = false;
-	balancer_mark_disturbed(soak, reader->index);
-	process_signal(reader->process, SIGKILL);
-	schedule(soak, 300 + random_below(soak, 1500), reader->index,
-		 reader_return);
+	balancer_kill_for(soak, reader->index, 300 + random_below(soak, 1500),
+			  reader_return);
 }
 
 static gboolean reader_freeze(gpointer data)
@@ -369,16 +358,25 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* The reader freezes while it passes many routes on. */
-static void fault_reader_freeze(struct soak *soak)
+/* Changes many routes, and strikes a reader while it passes them on. */
+static void reader_strike(struct soak *soak, GSourceFunc strike)
 {
 	struct soak_balancer *reader = reader_choose(soak);
 
 	if (!reader)
 		return;
 	many_routes_change(soak, !soak->has_extra_route);
-	g_timeout_add(random_below(soak, READER_FAULT_MAX_MS), reader_freeze,
-		      reader);
+	g_timeout_add(random_below(soak, READER_FAULT_MAX_MS), strike, reader);
+}
+
+static void fault_reader_kill(struct soak *soak)
+{
+	reader_strike(soak, reader_kill);
+}
+
+static void fault_reader_freeze(struct soak *soak)
+{
+	reader_strike(soak, reader_freeze);
 }
 
 static void fault_malformed_entry(struct soak *soak)
