Continue a transfer of routes with another member if its source stalls

While a source made no progress, announcements of the same version by other members were ignored for up to 1 s, which the deadline of 3 s for a configuration hardly leaves after a failed reader. Any polled member now replaces a source that made no progress for a poll timeout (0.4 s), and a change of the leader ends a transfer from an alternate that is no longer polled.

--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -12,16 +12,19 @@
 void follow_set_leader(struct sharing *sharing, uint32_t leader,
 		       const char *reason)
 {
+	int64_t now_ns = clock_now_ns(sharing->options.clock);
+
 	if (sharing->leader == leader)
 		return;
 	sharing->leader = leader;
-	sharing->leader_since_ns = clock_now_ns(sharing->options.clock);
+	sharing->leader_since_ns = now_ns;
 	sharing->poll_sent_ns = 0;
 	sharing->next_poll_ns = 0;
 	sharing->consecutive_poll_timeouts = 0;
 	sharing->last_fresh_update_ns = 0;
 	/* A transfer from the alternate goes on. */
-	if (sharing->routes_transfer.source != sharing->alternate)
+	if (sharing->routes_transfer.source != sharing->alternate ||
+	    !alternate_is_active(sharing, now_ns))
 		routes_drop(sharing, "leader_changed");
 	sharing->counters[SHARING_LEADER_CHANGES]++;
 	sharing->options.on_leader_changed(sharing->options.context, leader,
--- a/sharing/sharing_routes.c
+++ b/sharing/sharing_routes.c
@@ -114,6 +114,7 @@
 			 const struct sharing_message *update, int64_t now_ns)
 {
 	const struct routes_transfer *transfer = &sharing->routes_transfer;
+	bool is_stalled = now_ns - transfer->progress_ns >= POLL_TIMEOUT_NS;
 
 	transfer_check(sharing);
 	if (transfer->version != 0 && transfer->source == address &&
@@ -121,8 +122,9 @@
 		routes_drop(sharing, "other_version");
 	if (update->routes_version <= routes_version(sharing))
 		return false;
-	if (update->routes_version > transfer->version) {
-		routes_drop(sharing, "newer_version");
+	if (update->routes_version > transfer->version ||
+	    (address != transfer->source && is_stalled)) {
+		routes_drop(sharing, "replaced");
 		transfer_begin(sharing, address, update->routes_version,
 			       now_ns);
 		return true;
