Soak: stop store readers as planned while routes change

reader-stop asks the reader of a zone to stop, changes routes each 300 ms until it has ended, and starts it again at once.

A reader that stops sends its queued pushes and ends in the same tick. Its followers knew the revision and not the routes; the new process listed from one of them, took over that revision (logged as version=22 revision=35, while version 24 was published at 35) and led the zone. No leader changed, as it was back within 0.9 s, and nothing was logged as a warning.

--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -8,6 +8,8 @@
 
 /* Longest time from a change until its reader is killed or frozen. */
 #define READER_FAULT_MAX_MS 100
+/* Interval of the changes while a reader stops. */
+#define READER_STOP_CHANGE_MS 300
 /* Longer than the time after which followers select another leader. */
 #define READER_DOWN_MS 3000
 
@@ -343,6 +345,33 @@
 			  reader_return);
 }
 
+/* Starts the reader again as soon as it has ended. */
+static void reader_stop_continue(struct soak *soak, uint32_t index)
+{
+	if (!process_is_running(soak->balancers[index].process)) {
+		soak_fault_print(soak, "start reader b%u", index);
+		soak_balancer_start(&soak->balancers[index]);
+		return;
+	}
+	fault_routes(soak);
+	schedule(soak, READER_STOP_CHANGE_MS, index, reader_stop_continue);
+}
+
+/* Routes change until the reader, which is asked to stop, has ended. */
+static void fault_reader_stop(struct soak *soak)
+{
+	struct soak_balancer *reader = reader_choose(soak);
+
+	if (!reader || !reader->should_run || reader->is_frozen)
+		return;
+	soak_fault_print(soak, "stop reader b%u", reader->index);
+	reader->should_run = false;
+	balancer_mark_disturbed(soak, reader->index);
+	process_signal(reader->process, SIGTERM);
+	schedule(soak, READER_STOP_CHANGE_MS, reader->index,
+		 reader_stop_continue);
+}
+
 static gboolean reader_freeze(gpointer data)
 {
 	struct soak_balancer *reader = data;
@@ -433,6 +462,7 @@
 	{ "routes-many", fault_routes_many, 0 },
 	{ "reader-kill", fault_reader_kill, 0 },
 	{ "reader-return", fault_reader_return, 0 },
+	{ "reader-stop", fault_reader_stop, 0 },
 	{ "reader-freeze", fault_reader_freeze, 0 },
 };
 
