Take routes and hosts from a member that lacks older removals

The only member of the zone that the store accepted had just restarted. It has no removals of before its listing, so its answers only told the others to list elsewhere, and these dropped them: they waited until the store accepted them again, 4.2 s.

Such an answer now carries the hosts that the member knows, and its routes are taken: both are complete, only removals may be missing. The revision is not raised and the replica is not confirmed, so the balancer goes on looking for a member or the store to catch up. Older balancers ignore such an answer, as before.

--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -149,6 +149,14 @@
 	sharing->leader_response_ns = now_ns;
 }
 
+static void poll_again(struct sharing *sharing, bool is_leader, int64_t now_ns)
+{
+	if (is_leader)
+		leader_poll(sharing, now_ns);
+	else
+		alternate_poll(sharing, now_ns);
+}
+
 void follow_handle_update(struct sharing *sharing, uint32_t address,
 			  const struct sharing_message *update, int64_t now_ns)
 {
@@ -176,8 +184,15 @@
 		return;
 	}
 	if (update->needs_listing && replica_status->is_complete) {
-		/* The member started recently; others have older changes. */
+		/*
+		 * The member started recently; others have older changes. What
+		 * it has is applied all the same, without its revision.
+		 */
 		members_mark_unresponsive(sharing->members, address, now_ns);
+		replica_apply(steering_hosts(sharing->options.steering), NULL,
+			      update, now_ns);
+		if (routes_handle_chunk(sharing, address, update, now_ns))
+			poll_again(sharing, is_leader, now_ns);
 		return;
 	}
 	sharing->counters[SHARING_UPDATES_APPLIED]++;
@@ -185,10 +200,7 @@
 	if (is_leader && now_ns - confirmed_ns <= MEMBER_REPLICA_AGE_MAX_NS)
 		sharing->last_fresh_update_ns = now_ns;
 	if (update_apply(sharing, address, update, now_ns)) {
-		if (is_leader)
-			leader_poll(sharing, now_ns);
-		else
-			alternate_poll(sharing, now_ns);
+		poll_again(sharing, is_leader, now_ns);
 		return;
 	}
 	if (is_leader && update->load_count > 0)
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -95,9 +95,10 @@
 	if (is_listing) {
 		replica_fill_listing(table, cursor, revision, now_ns, update);
 		update->base_revision = listing_page_id(cursor);
-	} else if (after < host_table_oldest_revision(table)) {
-		update->needs_listing = true;
 	} else if (after <= revision) {
+		/* Some removals may have been forgotten. */
+		update->needs_listing = after <
+					host_table_oldest_revision(table);
 		replica_fill_changes(table, after, revision, now_ns, update);
 	}
 }
--- a/tests/sharing/test_routes.c
+++ b/tests/sharing/test_routes.c
@@ -194,6 +194,35 @@
 }
 END_TEST
 
+/*
+ * Guards against changes that wait for the store to accept a balancer again: the
+ * only member that it accepts has restarted and lacks older removals of hosts.
+ */
+START_TEST(restarted_member_passes_on_what_it_knows) {
+	uint32_t accepted = (uint32_t)_i % SMALL_NODES;
+
+	network_close(&network);
+	network_open_filled(&network, SMALL_NODES, 1, HOSTS, ROUTES);
+	network_run(&network, 1 + 37 * _i);
+	for (uint32_t i = 0; i < SMALL_NODES; i++)
+		network.nodes[i].is_rejected = true;
+	network_publish_host(&network, 7, true);
+	network_run(&network, APPLY_MS);
+	network.nodes[accepted].is_rejected = false;
+	network_restart(&network, accepted);
+	network_run(&network, 100);
+	network_publish_routes(&network, 2, ROUTES);
+	network_run(&network, APPLY_MS);
+	for (uint32_t i = 0; i < SMALL_NODES; i++) {
+		struct steering *steering = network.nodes[i].steering;
+
+		ck_assert_uint_eq(steering_routing(steering)->version, 2);
+		ck_assert(host_table_find(steering_hosts(steering), "i-0007")
+				  ->published.is_draining);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("routes");
@@ -216,6 +245,8 @@
 	tcase_add_loop_test(
 		cases, refused_balancers_of_a_small_zone_get_routes_in_time, 0,
 		STEPS * 2);
+	tcase_add_loop_test(cases, restarted_member_passes_on_what_it_knows, 0,
+			    STEPS);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
