--- a/include/sharing/sharing_message.h
+++ b/include/sharing/sharing_message.h
@@ -86,7 +86,7 @@
 	 */
 	uint32_t update_age_ms;
 	bool has_more; /* poll again at once for the rest */
-	bool needs_listing; /* changes after the revision are unavailable */
+	bool needs_listing; /* removals after the revision may be missing */
 	uint32_t chunk_count;
 	const uint8_t *chunk_data; /* points into the datagram */
 	size_t chunk_bytes;
