--- a/parsleyladder/balancer_probe.c
+++ b/parsleyladder/balancer_probe.c
@@ -12,6 +12,7 @@
 struct host_probe {
 	struct balancer *balancer;
 	struct connect_probe *probe;
+	int64_t start_ns;
 	char id[HOST_ID_BYTES_MAX + 1];
 };
 
@@ -35,9 +36,10 @@
 	balancer->probe_outcome_counts[outcome]++;
 	g_hash_table_remove(balancer->probes, probe);
 	log_event(LOG_LEVEL_INFO, "host_probed",
-		  "host=%s outcome=%s handshake_us=%" PRId64
-		  " handshake_samples=%" PRIu64,
+		  "host=%s outcome=%s elapsed_us=%" PRId64
+		  " handshake_us=%" PRId64 " handshake_samples=%" PRIu64,
 		  probe->id, probe_outcome_name(outcome),
+		  (clock_now_ns(balancer->clock) - probe->start_ns) / NS_PER_US,
 		  handshake->smoothed_ns / NS_PER_US, handshake->samples);
 	steering_probe_end(balancer->steering, probe->id, results[outcome]);
 	g_free(probe);
@@ -56,6 +58,7 @@
 	};
 
 	probe->balancer = balancer;
+	probe->start_ns = clock_now_ns(balancer->clock);
 	g_strlcpy(probe->id, host->published.id, sizeof(probe->id));
 	g_hash_table_add(balancer->probes, probe);
 	probe->probe = connect_probe_start(&options);
