--- /dev/null
+++ b/steering/host_changes.c
@@ -0,0 +1,175 @@
+#include <string.h>
+
+#include "common/clock.h"
+#include "host_table_state.h"
+
+static void service_add_host(struct host_table *table, struct known_host *host)
+{
+	const char *name = host->published.service;
+
+	host->service_hosts = g_hash_table_lookup(table->by_service, name);
+	if (!host->service_hosts) {
+		host->service_hosts = g_ptr_array_new();
+		g_hash_table_insert(table->by_service, g_strdup(name),
+				    host->service_hosts);
+	}
+	g_ptr_array_add(host->service_hosts, host);
+}
+
+static struct known_host *host_add(struct host_table *table, const char *id)
+{
+	struct known_host *host = g_new0(struct known_host, 1);
+	struct known_host *other;
+
+	g_strlcpy(host->published.id, id, sizeof(host->published.id));
+	host->token = host_token(id);
+	other = host_table_find_token(table, host->token);
+	if (other) {
+		host->has_token_conflict = true;
+		other->has_token_conflict = true;
+	} else {
+		g_hash_table_insert(table->by_token,
+				    GUINT_TO_POINTER(host->token), host);
+	}
+	g_hash_table_insert(table->by_id, host->published.id, host);
+	g_tree_insert(table->sorted, host->published.id, host);
+	return host;
+}
+
+/* The health observed of the old process does not apply to the new one. */
+static void host_restart(struct host_table *table, struct known_host *host)
+{
+	memset(&host->health, 0, sizeof(host->health));
+	table->options.on_ended(table->options.context, host, true);
+}
+
+static bool announcement_is_equal(const struct host_announcement *a,
+				  const struct host_announcement *b)
+{
+	return ip_address_equal(&a->address, &b->address) &&
+	       a->port == b->port && a->slots == b->slots &&
+	       a->started_ms == b->started_ms &&
+	       a->is_draining == b->is_draining &&
+	       strcmp(a->service, b->service) == 0 &&
+	       strcmp(a->zone, b->zone) == 0;
+}
+
+static void announcement_apply(struct known_host *host,
+			       const struct host_announcement *announcement,
+			       int64_t now_ns)
+{
+	host->published = *announcement;
+	host->slow_start_until_ns =
+		now_ns + announcement->slow_start_ms * NS_PER_MS;
+}
+
+static bool is_foreign(const struct host_table *table,
+		       const struct known_host *host,
+		       const struct host_announcement *announcement)
+{
+	const struct host_table_options *options = &table->options;
+
+	return !host->is_removed && host->published.service[0] != '\0' &&
+	       strcmp(host->published.service, announcement->service) != 0 &&
+	       options->is_service_used(options->context,
+					host->published.service) &&
+	       !options->is_service_used(options->context,
+					 announcement->service);
+}
+
+void host_put(struct host_table *table,
+	      const struct host_announcement *announcement, int64_t now_ns)
+{
+	struct known_host *host = host_table_find(table, announcement->id);
+	bool is_new = !host || host->is_removed;
+	bool is_changed;
+
+	if (host && (announcement->revision < host->published.revision ||
+		     announcement->revision < host->removed_revision))
+		return;
+	if (host && is_foreign(table, host, announcement)) {
+		table->options.on_rejected(table->options.context, host,
+					   announcement);
+		return;
+	}
+	if (!host)
+		host = host_add(table, announcement->id);
+	table->newest_revision =
+		MAX(table->newest_revision, announcement->revision);
+	if (!is_new && announcement->revision == host->published.revision)
+		return;
+	is_changed = !announcement_is_equal(&host->published, announcement);
+	if (host->service_hosts &&
+	    announcement->started_ms != host->published.started_ms)
+		host_restart(table, host);
+	if (host->service_hosts &&
+	    strcmp(host->published.service, announcement->service) != 0) {
+		g_ptr_array_remove_fast(host->service_hosts, host);
+		host->service_hosts = NULL;
+	}
+	announcement_apply(host, announcement, now_ns);
+	if (host->has_token_conflict)
+		token_owner_update(table, host->token);
+	if (!host->service_hosts)
+		service_add_host(table, host);
+	if (is_new)
+		table->published_count++;
+	host->is_removed = false;
+	if (!is_new && !is_changed)
+		return;
+	table->generation++;
+	table->options.on_changed(table->options.context, host, is_new);
+}
+
+bool is_announcement_outdated(const struct host_table *table,
+			      const struct host_announcement *announcement)
+{
+	return announcement->revision <= table->listed_revision &&
+	       !g_hash_table_contains(table->by_id, announcement->id);
+}
+
+void host_table_put(struct host_table *table,
+		    const struct host_announcement *announcement,
+		    int64_t now_ns)
+{
+	if (!is_announcement_outdated(table, announcement))
+		host_put(table, announcement, now_ns);
+}
+
+void host_mark_removed(struct host_table *table, struct known_host *host,
+		       uint64_t revision, int64_t now_ns)
+{
+	host->is_removed = true;
+	host->removed_revision = revision;
+	table->newest_revision = MAX(table->newest_revision, revision);
+	host->removed_since_ns = now_ns;
+	table->published_count--;
+	table->generation++;
+	table->options.on_ended(table->options.context, host, false);
+}
+
+void host_table_remove(struct host_table *table, const char *id,
+		       uint64_t revision, int64_t now_ns)
+{
+	struct known_host *host = host_table_find(table, id);
+
+	if (!host || host->is_removed || revision < host->published.revision)
+		return;
+	host_mark_removed(table, host, revision, now_ns);
+}
+
+void host_table_restore(struct host_table *table,
+			const struct host_announcement *announcement,
+			uint64_t removed_revision, int64_t now_ns)
+{
+	bool is_removed = removed_revision > 0 ||
+			  is_announcement_outdated(table, announcement);
+
+	if (g_hash_table_contains(table->by_id, announcement->id))
+		return;
+	host_put(table, announcement, now_ns);
+	if (is_removed)
+		host_table_remove(table, announcement->id,
+				  MAX(removed_revision, table->listed_revision),
+				  now_ns);
+}
--- /dev/null
+++ b/steering/host_table_state.h
@@ -0,0 +1,43 @@
+#ifndef PARSLEYLADDER_STEERING_HOST_TABLE_STATE_H
+#define PARSLEYLADDER_STEERING_HOST_TABLE_STATE_H
+
+/**
+ * State of the host table, and its layers: host_listing.c applies complete
+ * listings and calls host_changes.c, which applies single changes and calls
+ * host_tokens.c. host_table.c holds the table and its queries.
+ */
+
+#include <glib.h>
+
+#include "steering/host_table.h"
+
+struct host_table {
+	struct host_table_options options;
+	GHashTable *by_id; /* owns the hosts */
+	GHashTable *by_token;
+	GHashTable *by_service; /* name to GPtrArray of hosts */
+	GTree *sorted; /* by id */
+	uint64_t oldest_revision; /* see host_table_oldest_revision() */
+	uint64_t newest_revision; /* see host_table_newest_revision() */
+	uint64_t listed_revision; /* newest of a complete listing */
+	uint64_t generation; /* see host_table_generation() */
+	uint32_t published_count;
+};
+
+/* Changes: host_changes.c. */
+void host_put(struct host_table *table,
+	      const struct host_announcement *announcement, int64_t now_ns);
+void host_mark_removed(struct host_table *table, struct known_host *host,
+		       uint64_t revision, int64_t now_ns);
+/**
+ * The host is unknown although a newer complete listing was applied, so it was
+ * removed before that listing: the announcement arrived late.
+ */
+bool is_announcement_outdated(const struct host_table *table,
+			      const struct host_announcement *announcement);
+
+/* Tokens: host_tokens.c. */
+/** Finds the host that a shared token belongs to. */
+void token_owner_update(struct host_table *table, uint32_t token);
+
+#endif
