End open flows on probes only; retransmissions keep new flows away

Cause: three retransmissions without progress for 600 ms ejected a host and reset its open flows. A balancer cannot tell a slow or full host from its own congested link by retransmissions, and not by probes that time out either.

Change: retransmissions, overdue handshakes and ignored opening packets only keep new flows away. Open flows end once probes show that the host is down: one that is refused; two that time out while anything sent to another host was answered within 200 ms (else another host is probed to find out); one that is accepted although a host published later has the address. Probes go on while callers retransmit to an ejected host, the first one starts with the retransmission. host_down logs the evidence.

--- a/include/steering/host_health.h
+++ b/include/steering/host_health.h
@@ -6,6 +6,9 @@
  * callers send: a caller that acknowledges new data shows that the host is
  * alive, a caller that retransmits shows that it does not respond. An ejected
  * host is retried with single new flows.
+ *
+ * Retransmissions only keep new flows away: a congested path or a slow host
+ * causes them too. Open flows end only once probes show that the host is down.
  */
 
 #include <stdbool.h>
@@ -33,10 +36,14 @@
 	bool is_slow; /* responds much later than others of the service */
 	uint32_t responses; /* in the average, up to HEALTH_RESPONSES_MAX */
 	int64_t probed_ns; /* when the host was last probed, 0 for never */
+	int64_t unanswered_since_ns; /* first of the probes that timed out */
 	bool is_probing; /* a probe is pending */
 	bool is_refusing; /* the last probe was refused or timed out */
+	/* Probes showed that nothing listens or answers; until progress. */
+	bool is_down;
 	uint32_t probe_timeouts; /* in a row */
 	int64_t first_retransmission_ns; /* since the last progress, or 0 */
+	int64_t last_retransmission_ns;
 	uint32_t retransmissions; /* since the last progress */
 	int64_t silent_since_ns; /* 0 while the host is not silent */
 	int64_t trial_ns; /* a silent host may get a new flow from then on */
@@ -60,8 +67,6 @@
 			    int64_t now_ns);
 /** A caller retransmitted a packet; true if the host became silent. */
 bool health_record_retransmission(struct host_health *health, int64_t now_ns);
-/** Marks the host as silent; false if it already was. */
-bool health_eject(struct host_health *health, int64_t now_ns);
 static inline bool health_is_silent(const struct host_health *health)
 {
 	return health->silent_since_ns != 0;
@@ -84,18 +89,21 @@
 /** Records the start of a probe. */
 void health_probe_begin(struct host_health *health, int64_t now_ns);
 enum probe_result {
-	PROBE_RESULT_UP, /* accepts connections, or the probe gave no result */
+	PROBE_RESULT_NONE, /* the probe failed locally */
+	PROBE_RESULT_UP, /* accepts connections */
 	PROBE_RESULT_FULL, /* listening, but accepts no more connections */
 	PROBE_RESULT_DOWN, /* nothing listens */
 	PROBE_RESULT_TIMEOUT,
 };
 
 /**
- * Records the result of a probe; true if the host became silent. A host that
- * accepts a connection is up, but may still not respond on its flows.
+ * Records the result of a probe; true if it shows that the host is down, which
+ * also ejects it. A host that accepts a connection is up, but may still not
+ * respond on its flows. Timeouts count only if @is_path_open: otherwise the
+ * network around this balancer may be the cause.
  */
 bool health_probe_end(struct host_health *health, enum probe_result result,
-		      int64_t now_ns);
+		      bool is_path_open, int64_t now_ns);
 /** True if a silent host may get one new flow now; see health_begin_trial(). */
 bool health_is_trial_due(const struct host_health *health, int64_t now_ns);
 /**
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -17,6 +17,7 @@
 #include "steering/choose.h"
 #include "steering/flow_cache.h"
 #include "steering/host_table.h"
+#include "steering/path_check.h"
 #include "steering/policy.h"
 #include "steering/routing.h"
 #include "steering/rtt_estimate.h"
@@ -47,7 +48,7 @@
 	STEERING_NO_HOST, /* no host of the service accepts flows */
 	STEERING_SERVICE_LIMIT, /* too many new flows of the service */
 	STEERING_TEAM_LIMIT, /* too many new flows of its team */
-	STEERING_HOST_SILENT, /* the host has stopped responding */
+	STEERING_HOST_SILENT, /* the host is down, according to probes */
 	STEERING_HOST_REMOVED, /* no longer published, or has restarted */
 	STEERING_TOKEN_UNKNOWN, /* no host has the token */
 	STEERING_NOT_READY, /* no complete listing is known yet */
@@ -97,10 +98,13 @@
 	/** A host restarted or is no longer published. */
 	void (*on_host_ended)(void *context, const struct known_host *host,
 			      bool is_restarted);
-	/** A host stopped responding, or responds again. */
+	/** A host stopped responding and gets no new flows, or responds again. */
 	void (*on_host_silence_changed)(void *context,
 					const struct known_host *host,
 					bool is_silent);
+	/** Probes show that a host is down, so open flows to it end. */
+	void (*on_host_down)(void *context, const struct known_host *host,
+			     enum probe_result result);
 	/** The is_slow mark of a host's health changed. */
 	void (*on_host_slowness_changed)(void *context,
 					 const struct known_host *host);
@@ -147,6 +151,7 @@
 void steering_tick(struct steering *steering);
 /** Time of the handshakes with which flows opened. */
 const struct rtt_estimate *steering_handshake(const struct steering *steering);
+const struct path_check *steering_path(const struct steering *steering);
 /** True while several hosts are silent and no host responds. */
 bool steering_is_isolated(const struct steering *steering);
 /** Returns NULL if the flow is not in the cache. */
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -216,6 +216,7 @@
 		.on_host_changed = host_log_changed,
 		.on_host_ended = host_log_ended,
 		.on_host_silence_changed = host_log_silence_changed,
+		.on_host_down = host_log_down,
 		.on_host_slowness_changed = host_log_slowness_changed,
 		.context = balancer,
 	};
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -243,6 +243,25 @@
 		  steering_is_isolated(balancer->steering));
 }
 
+void host_log_down(void *context, const struct known_host *host,
+		   enum probe_result result)
+{
+	const struct balancer *balancer = context;
+
+	log_event(LOG_LEVEL_WARNING, "host_down",
+		  "host=%s zone=%s flows=%u reason=%s timeouts=%u misses=%u "
+		  "progress_age_ms=%" PRId64 " prompt_age_ms=%" PRId64
+		  " isolated=%d",
+		  host->published.id, host->published.zone, host->open_flows,
+		  result == PROBE_RESULT_DOWN ? "refused" : "timeouts",
+		  host->health.probe_timeouts, host->health.retransmissions,
+		  balancer_age_ms(balancer, host->health.progress_ns),
+		  balancer_age_ms(
+			  balancer,
+			  steering_path(balancer->steering)->prompt_since_ns),
+		  steering_is_isolated(balancer->steering));
+}
+
 void host_log_slowness_changed(void *context, const struct known_host *host)
 {
 	const struct balancer *balancer = context;
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -146,6 +146,8 @@
 		    bool is_restarted);
 void host_log_silence_changed(void *context, const struct known_host *host,
 			      bool is_silent);
+void host_log_down(void *context, const struct known_host *host,
+		   enum probe_result result);
 void host_log_slowness_changed(void *context, const struct known_host *host);
 
 /** Starts a probe that finds out whether a host accepts connections. */
--- a/parsleyladder/balancer_probe.c
+++ b/parsleyladder/balancer_probe.c
@@ -23,7 +23,7 @@
 	[PROBE_RESET] = PROBE_RESULT_FULL,
 	[PROBE_TIMEOUT] = PROBE_RESULT_TIMEOUT,
 	/* A local failure says nothing about the host. */
-	[PROBE_FAILED] = PROBE_RESULT_UP,
+	[PROBE_FAILED] = PROBE_RESULT_NONE,
 };
 
 static void probe_ended(void *context, enum probe_outcome outcome)
@@ -37,9 +37,13 @@
 	g_hash_table_remove(balancer->probes, probe);
 	log_event(LOG_LEVEL_INFO, "host_probed",
 		  "host=%s outcome=%s elapsed_us=%" PRId64
-		  " handshake_us=%" PRId64 " handshake_samples=%" PRIu64,
+		  " prompt_age_ms=%" PRId64 " handshake_us=%" PRId64
+		  " handshake_samples=%" PRIu64,
 		  probe->id, probe_outcome_name(outcome),
 		  (clock_now_ns(balancer->clock) - probe->start_ns) / NS_PER_US,
+		  balancer_age_ms(
+			  balancer,
+			  steering_path(balancer->steering)->prompt_since_ns),
 		  handshake->smoothed_ns / NS_PER_US, handshake->samples);
 	steering_probe_end(balancer->steering, probe->id, results[outcome]);
 	g_free(probe);
--- a/steering/host_health.c
+++ b/steering/host_health.c
@@ -46,6 +46,7 @@
 
 	health->progress_ns = now_ns;
 	health->is_refusing = false;
+	health->is_down = false;
 	health->probe_timeouts = 0;
 	health->first_retransmission_ns = 0;
 	health->retransmissions = 0;
@@ -87,6 +88,20 @@
 	       quiet_ns <= QUIET_MAX_NS;
 }
 
+static bool has_waiting_callers(const struct host_health *health,
+				int64_t now_ns)
+{
+	return health->retransmissions > 0 &&
+	       now_ns - health->last_retransmission_ns <=
+		       RETRANSMISSION_WINDOW_NS;
+}
+
+static bool is_trial_probe_due(const struct host_health *health, int64_t now_ns)
+{
+	return health_is_silent(health) && now_ns >= health->trial_ns &&
+	       health->probed_ns < health->trial_ns;
+}
+
 bool health_needs_probe(const struct host_health *health, int64_t now_ns)
 {
 	bool is_retry = health->probe_timeouts > 0;
@@ -95,11 +110,13 @@
 
 	if (health->is_probing)
 		return false;
-	if (health_is_silent(health))
-		return now_ns >= health->trial_ns &&
-		       (health->probed_ns < health->trial_ns);
+	if (is_trial_probe_due(health, now_ns))
+		return true;
 	if (health->probed_ns != 0 && now_ns - health->probed_ns < interval_ns)
 		return false;
+	/* Until it is known to be down, callers wait for a silent host. */
+	if (health_is_silent(health))
+		return !health->is_down && has_waiting_callers(health, now_ns);
 	return is_retry || health_is_suspect(health) ||
 	       is_quiet(health, now_ns);
 }
@@ -110,49 +127,76 @@
 	health->is_probing = true;
 }
 
+static bool health_eject(struct host_health *health, int64_t now_ns)
+{
+	if (health_is_silent(health))
+		return false;
+	health->silent_since_ns = now_ns;
+	health->trial_delay_ms = TRIAL_DELAY_MIN_MS;
+	health->trial_ns = now_ns + TRIAL_DELAY_MIN_MS * NS_PER_MS;
+	return true;
+}
+
 /* One timeout proves nothing: a lost packet looks like an unreachable host. */
 static bool is_confirmed_down(const struct host_health *health,
-			      enum probe_result result, int64_t now_ns)
+			      enum probe_result result, bool is_path_open,
+			      int64_t now_ns)
 {
 	/* A response to a caller after the start of the probe outweighs it. */
 	if (health->progress_ns > health->probed_ns)
 		return false;
 	if (result == PROBE_RESULT_DOWN)
 		return true;
-	return health->probe_timeouts >= PROBE_TIMEOUTS_MIN &&
+	return result == PROBE_RESULT_TIMEOUT && is_path_open &&
+	       health->probe_timeouts >= PROBE_TIMEOUTS_MIN &&
 	       now_ns - health->progress_ns >= HEALTH_SILENCE_NS;
 }
 
-bool health_probe_end(struct host_health *health, enum probe_result result,
-		      int64_t now_ns)
+static void record_connection(struct host_health *health,
+			      enum probe_result result)
 {
-	health->is_probing = false;
-	health->is_refusing = result == PROBE_RESULT_DOWN ||
-			      result == PROBE_RESULT_TIMEOUT;
+	health->probe_timeouts = 0;
 	/*
-	 * Open flows of a full host go on, so it is not ejected. It stays
-	 * suspect, so it gets no new flows while others can take them.
+	 * A full host stays suspect, so it gets no new flows while others can
+	 * take them.
 	 */
-	if (result == PROBE_RESULT_FULL && !health_is_silent(health)) {
-		health->probe_timeouts = 0;
-		return false;
-	}
-	if (result == PROBE_RESULT_UP) {
-		health->probe_timeouts = 0;
-		health->is_handshake_overdue = false;
-		/* A single lost packet does not count. */
-		if (health->retransmissions < HEALTH_RETRANSMISSIONS_MIN - 1)
-			health->retransmissions = 0;
+	if (result == PROBE_RESULT_FULL)
+		return;
+	health->is_handshake_overdue = false;
+	/* A single lost packet does not count. */
+	if (health->retransmissions < HEALTH_RETRANSMISSIONS_MIN - 1)
+		health->retransmissions = 0;
+}
+
+static void record_timeout(struct host_health *health)
+{
+	if (health->probe_timeouts++ == 0)
+		health->unanswered_since_ns = health->probed_ns;
+}
+
+bool health_probe_end(struct host_health *health, enum probe_result result,
+		      bool is_path_open, int64_t now_ns)
+{
+	bool is_connected = result == PROBE_RESULT_UP ||
+			    result == PROBE_RESULT_FULL;
+
+	health->is_probing = false;
+	if (result == PROBE_RESULT_NONE)
 		return false;
-	}
+	health->is_refusing = !is_connected;
+	if (is_connected)
+		record_connection(health, result);
 	if (result == PROBE_RESULT_TIMEOUT)
-		health->probe_timeouts++;
-	if (health_is_silent(health)) {
+		record_timeout(health);
+	if (health_is_silent(health) && result != PROBE_RESULT_UP &&
+	    now_ns >= health->trial_ns)
 		health_begin_trial(health, now_ns);
+	if (health->is_down ||
+	    !is_confirmed_down(health, result, is_path_open, now_ns))
 		return false;
-	}
-	return is_confirmed_down(health, result, now_ns) &&
-	       health_eject(health, now_ns);
+	health->is_down = true;
+	health_eject(health, now_ns);
+	return true;
 }
 
 /*
@@ -175,6 +219,7 @@
 		health->retransmissions = 0;
 	if (health->retransmissions == 0)
 		health->first_retransmission_ns = now_ns;
+	health->last_retransmission_ns = now_ns;
 	health->retransmissions++;
 	if (health->retransmissions < HEALTH_RETRANSMISSIONS_MIN ||
 	    now_ns - waiting_since_ns(health) < HEALTH_SILENCE_NS)
@@ -182,16 +227,6 @@
 	return health_eject(health, now_ns);
 }
 
-bool health_eject(struct host_health *health, int64_t now_ns)
-{
-	if (health_is_silent(health))
-		return false;
-	health->silent_since_ns = now_ns;
-	health->trial_delay_ms = TRIAL_DELAY_MIN_MS;
-	health->trial_ns = now_ns + TRIAL_DELAY_MIN_MS * NS_PER_MS;
-	return true;
-}
-
 bool health_is_trial_due(const struct host_health *health, int64_t now_ns)
 {
 	return health_is_silent(health) && now_ns >= health->trial_ns &&
--- a/steering/host_monitor.c
+++ b/steering/host_monitor.c
@@ -9,44 +9,8 @@
  * seconds after the store has recovered. Its open flows go on meanwhile.
  */
 #define REMOVED_GRACE_NS (2 * NS_PER_S)
-/* Isolated: at least so many hosts are silent, and no host responds. */
-#define ISOLATION_HOSTS_MIN 3
 /* Waiting for the processor may take this long at a host or a balancer. */
 #define HANDSHAKE_LIMIT_MIN_NS (20 * NS_PER_MS)
-/*
- * The fabric may have moved a flow that was idle for longer to another
- * balancer, which can judge its host better. So it is dropped from the cache,
- * not reset.
- */
-#define RESET_PACKET_AGE_NS (5 * NS_PER_S)
-
-static void flow_reset(struct steering *steering, struct cached_flow *flow,
-		       enum steering_reason reason)
-{
-	steering->reason_counts[reason]++;
-	steering->options.reset(steering->options.context, flow, reason);
-	flow_cache_remove(steering->flows, flow);
-}
-
-void monitor_flows_reset(struct steering *steering, struct known_host *host,
-			 enum steering_reason reason)
-{
-	int64_t recent_ns = steering_now(steering) - RESET_PACKET_AGE_NS;
-	GList *link = host->flows.head;
-
-	while (link) {
-		struct cached_flow *flow = link->data;
-
-		link = link->next;
-		if (flow->state != FLOW_OPEN)
-			continue;
-		if (flow->last_packet_ns >= recent_ns)
-			flow_reset(steering, flow, reason);
-		else
-			flow_cache_remove(steering->flows, flow);
-	}
-}
-
 void monitor_progress(struct steering *steering, struct known_host *host,
 		      int64_t now_ns)
 {
@@ -58,22 +22,16 @@
 						  host, false);
 }
 
-static void host_handle_silence(struct steering *steering,
-				struct known_host *host)
-{
-	steering->silence_changes++;
-	steering->options.on_host_silence_changed(steering->options.context,
-						  host, true);
-	/* An isolated balancer cannot judge the health of its hosts. */
-	if (!steering_is_isolated(steering))
-		monitor_flows_reset(steering, host, STEERING_HOST_SILENT);
-}
-
+/*
+ * The host gets no new flows, but its open flows go on: it may be slow, or its
+ * packets may be late. Probes tell whether it is down.
+ */
 void monitor_retransmission(struct steering *steering, struct known_host *host,
 			    int64_t now_ns)
 {
 	if (health_record_retransmission(&host->health, now_ns))
-		host_handle_silence(steering, host);
+		ejection_report(steering, host);
+	probe_consider(steering, host, now_ns);
 }
 
 bool monitor_host_is_dead(const struct known_host *host, int64_t now_ns)
@@ -83,19 +41,6 @@
 	       now_ns - host->health.progress_ns > REMOVED_GRACE_NS;
 }
 
-static void host_probe(struct steering *steering, struct known_host *host,
-		       int64_t now_ns)
-{
-	/* A draining host may stop listening before it ends. */
-	if (!steering->options.probe || host->is_removed ||
-	    host->published.is_draining ||
-	    !health_needs_probe(&host->health, now_ns) ||
-	    !token_bucket_take(&steering->probe_limit, now_ns, 1))
-		return;
-	health_probe_begin(&host->health, now_ns);
-	steering->options.probe(steering->options.context, host);
-}
-
 /*
  * A handshake that takes longer than this is overdue. Without measurements, and
  * at the latest, it is when the caller sends a copy of its opening packet.
@@ -114,9 +59,10 @@
 		       const struct cached_flow *flow, int64_t now_ns)
 {
 	/* Which of several copies the host accepted is not known. */
-	if (!flow->has_copies)
-		rtt_estimate_add(&steering->handshake,
-				 now_ns - flow->first_packet_ns);
+	if (flow->has_copies)
+		return;
+	rtt_estimate_add(&steering->handshake, now_ns - flow->first_packet_ns);
+	path_record_response(&steering->path, flow->first_packet_ns, now_ns);
 }
 
 /*
@@ -127,7 +73,7 @@
 			     int64_t now_ns)
 {
 	host->health.is_handshake_overdue = true;
-	host_probe(steering, host, now_ns);
+	probe_consider(steering, host, now_ns);
 }
 
 /*
@@ -163,21 +109,10 @@
 		/* A drained host may serve for seconds after its removal. */
 		if (host->flows.length > 0 && !host->published.is_draining &&
 		    monitor_host_is_dead(host, now_ns))
-			monitor_flows_reset(steering, host,
-					    STEERING_HOST_REMOVED);
+			host_flows_reset(steering, host, STEERING_HOST_REMOVED);
 	}
 }
 
-void steering_probe_end(struct steering *steering, const char *id,
-			enum probe_result result)
-{
-	struct known_host *host = host_table_find(steering->hosts, id);
-
-	if (host &&
-	    health_probe_end(&host->health, result, steering_now(steering)))
-		host_handle_silence(steering, host);
-}
-
 static void slowness_notify(void *context, struct known_host *host)
 {
 	struct steering *steering = context;
@@ -195,33 +130,3 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
 		slow_hosts_mark(value, now_ns, slowness_notify, steering);
 }
-
-void monitor_probes(struct steering *steering, int64_t now_ns)
-{
-	GHashTableIter iterator;
-	gpointer value;
-
-	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		struct known_host *host = value;
-
-		host_probe(steering, host, now_ns);
-	}
-}
-
-bool steering_is_isolated(const struct steering *steering)
-{
-	GHashTableIter iterator;
-	uint32_t silent = 0;
-	gpointer value;
-
-	if (steering_now(steering) - steering->progress_ns < HEALTH_SILENCE_NS)
-		return false;
-	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		const struct known_host *host = value;
-
-		silent += health_is_silent(&host->health);
-	}
-	return silent >= ISOLATION_HOSTS_MIN;
-}
--- /dev/null
+++ b/steering/host_probes.c
@@ -0,0 +1,155 @@
+#include <glib.h>
+
+#include "steering_state.h"
+
+/* A draining host may stop listening before it ends. */
+static bool is_probed(const struct steering *steering,
+		      const struct known_host *host)
+{
+	return steering->options.probe && !host->is_removed &&
+	       !host->published.is_draining;
+}
+
+static void probe_start(struct steering *steering, struct known_host *host,
+			int64_t now_ns)
+{
+	if (!token_bucket_take(&steering->probe_limit, now_ns, 1))
+		return;
+	health_probe_begin(&host->health, now_ns);
+	steering->options.probe(steering->options.context, host);
+}
+
+void probe_consider(struct steering *steering, struct known_host *host,
+		    int64_t now_ns)
+{
+	if (is_probed(steering, host) &&
+	    health_needs_probe(&host->health, now_ns))
+		probe_start(steering, host, now_ns);
+}
+
+void monitor_probes(struct steering *steering, int64_t now_ns)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct known_host *host = value;
+
+		probe_consider(steering, host, now_ns);
+	}
+}
+
+static bool is_control(const struct steering *steering,
+		       const struct known_host *host)
+{
+	const struct host_health *health = &host->health;
+
+	return is_probed(steering, host) && !health->is_probing &&
+	       health->probe_timeouts == 0 && !health_is_silent(health) &&
+	       !health_is_suspect(health);
+}
+
+/*
+ * Probes another host, the one that responded last, to find out whether the
+ * path to the hosts is open.
+ */
+static void control_probe_start(struct steering *steering, int64_t now_ns)
+{
+	struct known_host *control = NULL;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct known_host *host = value;
+
+		if (is_control(steering, host) &&
+		    (!control ||
+		     host->health.progress_ns > control->health.progress_ns))
+			control = host;
+	}
+	if (control)
+		probe_start(steering, control, now_ns);
+}
+
+/* After a host has ended, its address may be assigned to another one. */
+static bool is_address_reassigned(const struct steering *steering,
+				  const struct known_host *host)
+{
+	const struct host_announcement *own = &host->published;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct known_host *other = value;
+
+		if (!other->is_removed && other->published.port == own->port &&
+		    ip_address_equal(&other->published.address,
+				     &own->address) &&
+		    other->published.started_ms > own->started_ms &&
+		    other->published.revision > own->revision)
+			return true;
+	}
+	return false;
+}
+
+static void host_handle_down(struct steering *steering, struct known_host *host,
+			     enum probe_result result)
+{
+	steering->options.on_host_down(steering->options.context, host, result);
+	/* An isolated balancer cannot judge the health of its hosts. */
+	if (!steering_is_isolated(steering))
+		host_flows_reset(steering, host, STEERING_HOST_SILENT);
+}
+
+/* What the result of a probe says of the host that was probed. */
+static enum probe_result result_interpret(const struct steering *steering,
+					  const struct known_host *host,
+					  enum probe_result result)
+{
+	bool is_connected = result == PROBE_RESULT_UP ||
+			    result == PROBE_RESULT_FULL;
+
+	return is_connected && is_address_reassigned(steering, host)
+		       ? PROBE_RESULT_DOWN
+		       : result;
+}
+
+/* True if the path was open at some time since the host last answered a probe. */
+static bool has_open_path(const struct steering *steering,
+			  const struct host_health *health)
+{
+	return path_is_open(&steering->path,
+			    health->probe_timeouts > 0
+				    ? health->unanswered_since_ns
+				    : health->probed_ns);
+}
+
+void steering_probe_end(struct steering *steering, const char *id,
+			enum probe_result result)
+{
+	struct known_host *host = host_table_find(steering->hosts, id);
+	int64_t now_ns = steering_now(steering);
+	struct host_health *health;
+	bool is_path_open;
+	bool was_silent;
+
+	if (!host)
+		return;
+	health = &host->health;
+	was_silent = health_is_silent(health);
+	if (result != PROBE_RESULT_TIMEOUT && result != PROBE_RESULT_NONE)
+		path_record_response(&steering->path, health->probed_ns,
+				     now_ns);
+	is_path_open = has_open_path(steering, health);
+	if (result == PROBE_RESULT_TIMEOUT && !is_path_open)
+		control_probe_start(steering, now_ns);
+	result = result_interpret(steering, host, result);
+	if (!health_probe_end(health, result, is_path_open, now_ns))
+		return;
+	if (!was_silent)
+		ejection_report(steering, host);
+	host_handle_down(steering, host, result);
+}
--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -90,10 +90,13 @@
 	if (!is_first && fields->payload_bytes > 0) {
 		health_record_late_progress(health, previous_packet_ns, now_ns);
 	} else {
-		if (flow->pending_since_ns != 0)
+		if (flow->pending_since_ns != 0) {
+			path_record_response(&steering->path,
+					     flow->pending_since_ns, now_ns);
 			health_record_response(health,
 					       now_ns - flow->pending_since_ns,
 					       now_ns);
+		}
 		monitor_progress(steering, flow->host, now_ns);
 	}
 	flow->pending_since_ns = 0;
@@ -196,13 +199,6 @@
 	flow_cache_touch(steering->flows, flow, now_ns);
 	flow_observe(steering, flow, &packet->fields, previous_packet_ns,
 		     now_ns);
-	/* flow_observe() resets all flows of a host that becomes silent. */
-	flow = flow_cache_find(steering->flows, &packet->fields.key);
-	if (!flow) {
-		steering_decide(decision, STEERING_DROP, STEERING_HOST_SILENT,
-				host);
-		return;
-	}
 	flow_advance(steering, flow, &packet->fields);
 	steering_decide(decision, STEERING_FORWARD,
 			packet->token != 0 ? STEERING_TOKEN : STEERING_CACHED,
@@ -212,9 +208,9 @@
 		steering_decide(decision, STEERING_RESET, STEERING_HOST_REMOVED,
 				host);
 		flow_cache_remove(steering->flows, flow);
-	} else if (flow->retransmissions >= HEALTH_RETRANSMISSIONS_MIN - 1 &&
-		   health_is_silent(&host->health) &&
-		   !steering_is_isolated(steering)) {
+	} else if (flow->retransmissions >=
+			   (host->health.is_refusing ? 1 : 2) &&
+		   host->health.is_down && !steering_is_isolated(steering)) {
 		steering_decide(decision, STEERING_RESET, STEERING_HOST_SILENT,
 				host);
 		flow_cache_remove(steering->flows, flow);
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -66,7 +66,7 @@
 	steering->options.on_host_ended(steering->options.context, host,
 					is_restarted);
 	if (is_restarted)
-		monitor_flows_reset(steering, host, STEERING_HOST_REMOVED);
+		host_flows_reset(steering, host, STEERING_HOST_REMOVED);
 }
 
 struct steering *steering_create(const struct steering_options *options)
@@ -172,6 +172,11 @@
 	return &steering->handshake;
 }
 
+const struct path_check *steering_path(const struct steering *steering)
+{
+	return &steering->path;
+}
+
 struct host_table *steering_hosts(struct steering *steering)
 {
 	return steering->hosts;
@@ -241,7 +246,7 @@
 		return STEERING_TOKEN_UNKNOWN;
 	if (monitor_host_is_dead(flow->host, steering_now(steering)))
 		return STEERING_HOST_REMOVED;
-	if (health_is_silent(&flow->host->health))
+	if (flow->host->health.is_down)
 		return STEERING_HOST_SILENT;
 	return flow->state == FLOW_OPENING ? STEERING_PLACED_AGAIN
 					   : STEERING_TOKEN;
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -3,8 +3,9 @@
 
 /**
  * State of the decision core, and its layers: steering.c takes a packet and
- * calls opening.c or open_flow.c, and these call host_monitor.c. Lower layers
- * do not call upper ones.
+ * calls opening.c or open_flow.c, and these call host_monitor.c, which observes
+ * the hosts and calls host_probes.c. Both call host_ejection.c. Lower layers do
+ * not call upper ones.
  */
 
 #include <glib.h>
@@ -35,6 +36,7 @@
 	 * the caller and back to this balancer.
 	 */
 	struct rtt_estimate handshake;
+	struct path_check path;
 	struct token_bucket probe_limit; /* rate, for all hosts */
 	uint64_t reason_counts[STEERING_REASONS];
 };
@@ -69,9 +71,14 @@
 /** The host has acknowledged all data of the flow before @sequence. */
 void flow_window_restart(struct cached_flow *flow, uint32_t sequence);
 
+/* What follows from the evidence: host_ejection.c. */
+/** Resets the open flows that an ended host cannot serve any more. */
+void host_flows_reset(struct steering *steering, struct known_host *host,
+		      enum steering_reason reason);
+/** The host became silent, so it gets no new flows. */
+void ejection_report(struct steering *steering, struct known_host *host);
+
 /* Monitoring of the hosts: host_monitor.c. */
-void monitor_flows_reset(struct steering *steering, struct known_host *host,
-			 enum steering_reason reason);
 void monitor_progress(struct steering *steering, struct known_host *host,
 		      int64_t now_ns);
 void monitor_retransmission(struct steering *steering, struct known_host *host,
@@ -90,6 +97,11 @@
 void monitor_overdue_handshakes(struct steering *steering, int64_t now_ns);
 void monitor_dead_hosts(struct steering *steering, int64_t now_ns);
 void monitor_slow_hosts(struct steering *steering, int64_t now_ns);
+
+/* Probes of hosts: host_probes.c. */
+/** Probes the host if its health asks for it. */
+void probe_consider(struct steering *steering, struct known_host *host,
+		    int64_t now_ns);
 void monitor_probes(struct steering *steering, int64_t now_ns);
 
 #endif
--- a/tests/edge/test_connect_probe.c
+++ b/tests/edge/test_connect_probe.c
@@ -89,6 +89,28 @@
 }
 END_TEST
 
+/*
+ * Guards against taking a host to be unreachable because this process was not
+ * scheduled: the connection was accepted before the timeout.
+ */
+START_TEST(stalled_process_causes_no_timeout) {
+	struct connect_probe_options options = {
+		.timeout_ms = 20,
+		.on_outcome = outcome_record,
+	};
+	int fd = listener_open(&options.port);
+
+	ip_address_parse("127.0.0.1", &options.address);
+	is_over = false;
+	ck_assert_ptr_nonnull(connect_probe_start(&options));
+	g_usleep(100000);
+	while (!is_over)
+		g_main_context_iteration(NULL, TRUE);
+	ck_assert_int_eq(outcome, PROBE_ACCEPTED);
+	close(fd);
+}
+END_TEST
+
 START_TEST(closed_port_is_refused) {
 	uint16_t port;
 	int fd = listener_open(&port);
@@ -128,6 +150,7 @@
 
 	tcase_add_test(cases, open_port_is_accepted);
 	tcase_add_test(cases, reset_after_accept_is_not_refusal);
+	tcase_add_test(cases, stalled_process_causes_no_timeout);
 	tcase_add_test(cases, closed_port_is_refused);
 	tcase_add_test(cases, cancelled_probe_reports_no_outcome);
 	suite_add_tcase(suite, cases);
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -32,6 +32,16 @@
 	fixture->silence_count += is_silent;
 }
 
+static void down_count(void *context, const struct known_host *host,
+		       enum probe_result result)
+{
+	struct fixture *fixture = context;
+
+	(void)host;
+	(void)result;
+	fixture->down_count++;
+}
+
 static void probe_count(void *context, const struct known_host *host)
 {
 	struct fixture *fixture = context;
@@ -82,6 +92,7 @@
 		.on_host_changed = changed_ignore,
 		.on_host_ended = changed_ignore,
 		.on_host_silence_changed = silence_count,
+		.on_host_down = down_count,
 		.on_host_slowness_changed = slowness_ignore,
 		.context = fixture,
 	};
@@ -179,6 +190,14 @@
 	return host_table_find(steering_hosts(fixture->steering), id);
 }
 
+void fixture_probe(struct fixture *fixture, const struct known_host *host,
+		   enum probe_result result)
+{
+	steering_tick(fixture->steering);
+	ck_assert(host->health.is_probing);
+	steering_probe_end(fixture->steering, host->published.id, result);
+}
+
 static struct token_packet packet_create(uint16_t port)
 {
 	struct token_packet packet = { 0 };
--- a/tests/steering/fixture.h
+++ b/tests/steering/fixture.h
@@ -29,6 +29,7 @@
 	uint32_t lookup_count; /* lookups of tokens */
 	uint32_t probe_count; /* probes started */
 	uint32_t silence_count; /* times a host became silent */
+	uint32_t down_count; /* times a host was found to be down */
 };
 
 void fixture_open(struct fixture *fixture, const char *zone);
@@ -51,6 +52,9 @@
 /** Routes SERVICE_ADDRESS to "examen"; without @has_route, to nothing. */
 bool fixture_route(struct fixture *fixture, uint64_t version, bool has_route);
 struct known_host *fixture_host(struct fixture *fixture, uint32_t number);
+/** Ticks, and passes on the result of the probe of @host that this starts. */
+void fixture_probe(struct fixture *fixture, const struct known_host *host,
+		   enum probe_result result);
 
 /** Packets of the caller at @port. */
 struct steering_decision packet_syn(struct fixture *fixture, uint16_t port,
