Defer announcements whose service has no route yet

Cause: ignores an entry that takes a host in use to a service without a route, as another program may have written it. The entry's revision passed all the same, so it was not looked at again when the routes came.

Such an announcement is kept beside the one in force now, and applied once a route leads to its service; a newer announcement or removal of the host drops it. Before the first routes nobody can tell, so all changes of a service wait. Its revision is older than that of the routes, so members would never get it with later changes: it is passed on as a change of its own, and in listings. announcement_ignored in the log becomes announcement_deferred.

--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -36,6 +36,11 @@
 
 struct known_host {
 	struct host_announcement published;
+	/*
+	 * Newest announcement, if it takes the host to a service to which no
+	 * route leads; NULL for none. Applied once there is a route.
+	 */
+	struct host_announcement *deferred;
 	uint32_t token; /* carried by the packets of its flows, never 0 */
 	bool is_removed; /* no longer published */
 	bool has_token_conflict; /* another host has the token: no new flows */
@@ -54,14 +59,15 @@
 
 struct host_table_options {
 	/**
-	 * True if flows may go to hosts of the service. An announcement that
-	 * takes a host from such a service to another one is ignored, as it
-	 * comes from another program: the id identifies one backend server.
+	 * False if flows go to service @from and none to service @to, or if
+	 * that is not known yet. An announcement that takes a host from one to
+	 * the other comes from another program, or before its routes, so it is
+	 * deferred until there is a route.
 	 */
-	bool (*is_service_used)(void *context, const char *service);
-	/** Such an announcement of @host was ignored. */
-	void (*on_rejected)(void *context, const struct known_host *host,
-			    const struct host_announcement *announcement);
+	bool (*can_change_service)(void *context, const char *from,
+				   const char *to);
+	/** An announcement of @host was deferred. */
+	void (*on_deferred)(void *context, const struct known_host *host);
 	/** The host was added, or its published properties changed. */
 	void (*on_changed)(void *context, const struct known_host *host,
 			   bool is_new);
@@ -149,6 +155,8 @@
 GHashTable *host_table_all(struct host_table *table);
 /** Removals of unknown hosts: id to struct host_removal. */
 GHashTable *host_table_unknown_removals(struct host_table *table);
+/** Applies the deferred announcements whose services have routes now. */
+void host_table_retry_deferred(struct host_table *table, int64_t now_ns);
 /** All services: name to GPtrArray of struct known_host. */
 GHashTable *host_table_services(struct host_table *table);
 /** Token of a host id; the same on each balancer. */
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -89,9 +89,8 @@
 	 * since a removed host may still serve its open flows.
 	 */
 	void (*lookup_token)(void *context, uint32_t token);
-	/** An announcement of @host by another program was ignored. */
-	void (*on_host_rejected)(void *context, const struct known_host *host,
-				 const struct host_announcement *announcement);
+	/** An announcement of @host waits for routes to its service. */
+	void (*on_host_deferred)(void *context, const struct known_host *host);
 	/** A host was added, or its published properties changed. */
 	void (*on_host_changed)(void *context, const struct known_host *host,
 				bool is_new);
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -212,7 +212,7 @@
 		.reset = flow_reset,
 		.probe = host_probe_start,
 		.lookup_token = token_lookup,
-		.on_host_rejected = host_log_rejected,
+		.on_host_deferred = host_log_deferred,
 		.on_host_changed = host_log_changed,
 		.on_host_ended = host_log_ended,
 		.on_host_silence_changed = host_log_silence_changed,
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -195,14 +195,14 @@
 			host->published.id, host->token);
 }
 
-void host_log_rejected(void *context, const struct known_host *host,
-		       const struct host_announcement *announcement)
+void host_log_deferred(void *context, const struct known_host *host)
 {
 	struct balancer *balancer = context;
+	const struct host_announcement *announcement = host->deferred;
 	char *service = g_strescape(announcement->service, NULL);
 
 	if (line_is_allowed(balancer, EVENT_HOST_CHANGED))
-		log_event(LOG_LEVEL_WARNING, "announcement_ignored",
+		log_event(LOG_LEVEL_WARNING, "announcement_deferred",
 			  "host=%s revision=%" PRIu64 " service=\"%s\" "
 			  "known_service=%s known_revision=%" PRIu64
 			  " reason=\"no route leads to the service\"",
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -139,8 +139,7 @@
 void host_log_changed(void *context, const struct known_host *host,
 		      bool is_new);
 /** Logs that an announcement of a known host was ignored. */
-void host_log_rejected(void *context, const struct known_host *host,
-		       const struct host_announcement *announcement);
+void host_log_deferred(void *context, const struct known_host *host);
 /** Logs that a host was removed or restarted. */
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted);
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -38,7 +38,7 @@
 		update->host = *change->announcement;
 	g_strlcpy(update->host.id, change->id, sizeof(update->host.id));
 	update->host.revision = change->revision;
-	if (!change->announcement)
+	if (!change->announcement || change->announcement != &host->published)
 		return;
 	slow_ns = host->slow_start_until_ns - now_ns;
 	update->host.slow_start_ms =
@@ -77,8 +77,15 @@
 		.host = host,
 		.announcement = host->is_removed ? NULL : &host->published,
 	};
+	const struct host_change deferred = {
+		.revision = host->deferred ? host->deferred->revision : 0,
+		.id = host->published.id,
+		.host = host,
+		.announcement = host->deferred,
+	};
 
 	change_add(changes, after, &published);
+	change_add(changes, after, &deferred);
 }
 
 static void unknown_removals_add(GArray *changes, uint64_t after,
@@ -150,13 +157,19 @@
 static bool listed_host_append(const struct known_host *host, int64_t now_ns,
 			       size_t *bytes, struct sharing_message *message)
 {
-	const struct host_change change = {
+	struct host_change change = {
 		.revision = host->published.revision,
 		.id = host->published.id,
 		.host = host,
 		.announcement = &host->published,
 	};
 
+	if (!change_append(&change, now_ns, PAGE_BYTES_MAX, bytes, message))
+		return false;
+	if (!host->deferred)
+		return true;
+	change.revision = host->deferred->revision;
+	change.announcement = host->deferred;
 	return change_append(&change, now_ns, PAGE_BYTES_MAX, bytes, message);
 }
 
--- a/steering/host_changes.c
+++ b/steering/host_changes.c
@@ -64,6 +64,12 @@
 		now_ns + announcement->slow_start_ms * NS_PER_MS;
 }
 
+uint64_t host_announced_revision(const struct known_host *host)
+{
+	return host->deferred ? host->deferred->revision
+			      : host->published.revision;
+}
+
 static bool is_outdated(const struct host_table *table,
 			const struct known_host *host,
 			const struct host_announcement *announcement)
@@ -71,22 +77,38 @@
 	if (!host)
 		return announcement->revision <
 		       removal_log_find(table->removals, announcement->id);
-	return announcement->revision < host->published.revision ||
+	return announcement->revision < host_announced_revision(host) ||
 	       announcement->revision < host->removed_revision;
 }
 
-static bool is_foreign(const struct host_table *table,
-		       const struct known_host *host,
-		       const struct host_announcement *announcement)
+static bool needs_routes(const struct host_table *table,
+			 const struct known_host *host,
+			 const struct host_announcement *announcement)
 {
 	const struct host_table_options *options = &table->options;
 
 	return !host->is_removed && host->published.service[0] != '\0' &&
 	       strcmp(host->published.service, announcement->service) != 0 &&
-	       options->is_service_used(options->context,
-					host->published.service) &&
-	       !options->is_service_used(options->context,
-					 announcement->service);
+	       !options->can_change_service(options->context,
+					    host->published.service,
+					    announcement->service);
+}
+
+static void announcement_defer(struct host_table *table,
+			       struct known_host *host,
+			       const struct host_announcement *announcement)
+{
+	bool is_known = host->deferred &&
+			host->deferred->revision == announcement->revision;
+
+	if (is_known)
+		return;
+	g_free(host->deferred);
+	host->deferred = g_new(struct host_announcement, 1);
+	*host->deferred = *announcement;
+	table->newest_revision =
+		MAX(table->newest_revision, announcement->revision);
+	table->options.on_deferred(table->options.context, host);
 }
 
 void host_put(struct host_table *table,
@@ -98,13 +120,13 @@
 
 	if (is_outdated(table, host, announcement))
 		return;
-	if (host && is_foreign(table, host, announcement)) {
-		table->options.on_rejected(table->options.context, host,
-					   announcement);
+	if (host && needs_routes(table, host, announcement)) {
+		announcement_defer(table, host, announcement);
 		return;
 	}
 	if (!host)
 		host = host_add(table, announcement->id);
+	g_clear_pointer(&host->deferred, g_free);
 	table->newest_revision =
 		MAX(table->newest_revision, announcement->revision);
 	if (!is_new && announcement->revision == host->published.revision)
@@ -150,6 +172,7 @@
 void host_mark_removed(struct host_table *table, struct known_host *host,
 		       uint64_t revision, int64_t now_ns)
 {
+	g_clear_pointer(&host->deferred, g_free);
 	host->is_removed = true;
 	host->removed_revision = revision;
 	table->newest_revision = MAX(table->newest_revision, revision);
@@ -169,7 +192,7 @@
 		table->newest_revision = MAX(table->newest_revision, revision);
 		return;
 	}
-	if (host->is_removed || revision < host->published.revision)
+	if (host->is_removed || revision < host_announced_revision(host))
 		return;
 	host_mark_removed(table, host, revision, now_ns);
 }
@@ -194,3 +217,32 @@
 	if (removed_revision > 0)
 		host_table_remove(table, id, removed_revision, now_ns);
 }
+
+static GPtrArray *deferred_hosts_find(const struct host_table *table)
+{
+	GPtrArray *hosts = g_ptr_array_new();
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, table->by_id);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct known_host *host = value;
+
+		if (host->deferred)
+			g_ptr_array_add(hosts, value);
+	}
+	return hosts;
+}
+
+void host_table_retry_deferred(struct host_table *table, int64_t now_ns)
+{
+	GPtrArray *hosts = deferred_hosts_find(table);
+
+	for (guint i = 0; i < hosts->len; i++) {
+		struct known_host *host = g_ptr_array_index(hosts, i);
+		const struct host_announcement announcement = *host->deferred;
+
+		host_put(table, &announcement, now_ns);
+	}
+	g_ptr_array_unref(hosts);
+}
--- a/steering/host_listing.c
+++ b/steering/host_listing.c
@@ -54,7 +54,7 @@
 		struct known_host *host = value;
 
 		if (!host->is_removed &&
-		    host->published.revision <= listing->revision &&
+		    host_announced_revision(host) <= listing->revision &&
 		    !g_hash_table_contains(listing->ids, host->published.id))
 			host_mark_removed(table, host, listing->revision,
 					  now_ns);
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -9,6 +9,14 @@
 	return strcmp(left, right);
 }
 
+static void host_free(void *context)
+{
+	struct known_host *host = context;
+
+	g_free(host->deferred);
+	g_free(host);
+}
+
 struct host_table *host_table_create(const struct host_table_options *options)
 {
 	struct host_table *table = g_new0(struct host_table, 1);
@@ -16,7 +24,7 @@
 	table->options = *options;
 	table->removals = removal_log_create();
 	table->by_id =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
 	table->by_token = g_hash_table_new(NULL, NULL);
 	table->sorted = g_tree_new_full(id_compare, NULL, NULL, NULL);
 	table->by_service =
--- a/steering/host_table_state.h
+++ b/steering/host_table_state.h
@@ -29,6 +29,8 @@
 /* Changes: host_changes.c. */
 void host_put(struct host_table *table,
 	      const struct host_announcement *announcement, int64_t now_ns);
+/** Newest revision of the host that is not a removal. */
+uint64_t host_announced_revision(const struct known_host *host);
 void host_mark_removed(struct host_table *table, struct known_host *host,
 		       uint64_t revision, int64_t now_ns);
 /**
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -30,22 +30,20 @@
 	[STEERING_NO_TOKEN] = "no_token",
 };
 
-/* Without routes, any service may get one. */
-static bool service_is_used(void *context, const char *service)
+static bool can_change_service(void *context, const char *from, const char *to)
 {
 	const struct steering *steering = context;
 
-	return !steering->routing ||
-	       routing_has_service(steering->routing, service);
+	return steering->routing &&
+	       (!routing_has_service(steering->routing, from) ||
+		routing_has_service(steering->routing, to));
 }
 
-static void host_rejected(void *context, const struct known_host *host,
-			  const struct host_announcement *announcement)
+static void host_deferred(void *context, const struct known_host *host)
 {
 	const struct steering *steering = context;
 
-	steering->options.on_host_rejected(steering->options.context, host,
-					   announcement);
+	steering->options.on_host_deferred(steering->options.context, host);
 }
 
 static void host_changed(void *context, const struct known_host *host,
@@ -73,8 +71,8 @@
 {
 	struct steering *steering = g_new0(struct steering, 1);
 	const struct host_table_options host_options = {
-		.is_service_used = service_is_used,
-		.on_rejected = host_rejected,
+		.can_change_service = can_change_service,
+		.on_deferred = host_deferred,
 		.on_changed = host_changed,
 		.on_ended = host_ended,
 		.context = steering,
@@ -152,6 +150,7 @@
 		return false;
 	routing_unref(steering->routing);
 	steering->routing = routing_ref(routing);
+	host_table_retry_deferred(steering->hosts, steering_now(steering));
 	return true;
 }
 
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -137,12 +137,10 @@
 	(void)token;
 }
 
-static void rejection_ignore(void *context, const struct known_host *host,
-			     const struct host_announcement *announcement)
+static void deferral_ignore(void *context, const struct known_host *host)
 {
 	(void)context;
 	(void)host;
-	(void)announcement;
 }
 
 static void slowness_ignore(void *context, const struct known_host *host)
@@ -164,7 +162,7 @@
 		.random_seed = node->address,
 		.reset = reset_ignore,
 		.lookup_token = token_ignore,
-		.on_host_rejected = rejection_ignore,
+		.on_host_deferred = deferral_ignore,
 		.on_host_changed = host_ignore,
 		.on_host_ended = host_ignore,
 		.on_host_silence_changed = host_ignore,
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -73,9 +73,15 @@
 /** Publishes a host or changes it; returns its revision. */
 uint64_t network_publish_host(struct network *network, uint32_t number,
 			      bool is_draining);
+/** Publishes a host again, with another service. */
+void network_move_host(struct network *network, uint32_t number,
+		       const char *service);
 void network_withdraw_host(struct network *network, uint32_t number);
 void network_publish_routes(struct network *network, uint64_t version,
 			    uint32_t count);
+/** Publishes one route, to @service. */
+void network_publish_route(struct network *network, uint64_t version,
+			   const char *service);
 /** A running node of the zone that reads the store; the test fails if none. */
 struct node *network_find_reader(struct network *network, uint32_t zone);
 uint32_t network_node_index(const struct network *network,
--- a/tests/sharing/network_store.c
+++ b/tests/sharing/network_store.c
@@ -107,20 +107,44 @@
 	store_read(network, node);
 }
 
-uint64_t network_publish_host(struct network *network, uint32_t number,
-			      bool is_draining)
+static void host_id_print(uint32_t number, char id[HOST_ID_BYTES_MAX + 1])
 {
-	struct host_announcement *host = NULL;
-	char id[HOST_ID_BYTES_MAX + 1];
+	g_snprintf(id, HOST_ID_BYTES_MAX + 1, "i-%04x", number);
+}
 
-	g_snprintf(id, sizeof(id), "i-%04x", number);
+static struct host_announcement *published_find(struct network *network,
+						const char *id)
+{
 	for (guint i = 0; i < network->hosts->len; i++) {
 		struct host_announcement *known =
 			g_ptr_array_index(network->hosts, i);
 
 		if (strcmp(known->id, id) == 0)
-			host = known;
+			return known;
 	}
+	return NULL;
+}
+
+void network_move_host(struct network *network, uint32_t number,
+		       const char *service)
+{
+	struct host_announcement *host;
+	char id[HOST_ID_BYTES_MAX + 1];
+
+	host_id_print(number, id);
+	host = published_find(network, id);
+	g_strlcpy(host->service, service, sizeof(host->service));
+	host->revision = ++network->store_revision;
+}
+
+uint64_t network_publish_host(struct network *network, uint32_t number,
+			      bool is_draining)
+{
+	struct host_announcement *host;
+	char id[HOST_ID_BYTES_MAX + 1];
+
+	host_id_print(number, id);
+	host = published_find(network, id);
 	if (!host) {
 		host = g_new0(struct host_announcement, 1);
 		g_ptr_array_add(network->hosts, host);
@@ -140,7 +164,7 @@
 {
 	struct withdrawal withdrawal = { 0 };
 
-	g_snprintf(withdrawal.id, sizeof(withdrawal.id), "i-%04x", number);
+	host_id_print(number, withdrawal.id);
 	for (guint i = 0; i < network->hosts->len; i++) {
 		struct host_announcement *known =
 			g_ptr_array_index(network->hosts, i);
@@ -154,8 +178,8 @@
 	g_array_append_val(network->withdrawn, withdrawal);
 }
 
-void network_publish_routes(struct network *network, uint64_t version,
-			    uint32_t count)
+static void routing_publish(struct network *network, uint64_t version,
+			    uint32_t count, const char *service)
 {
 	struct route_rule *rules = g_new0(struct route_rule, count + 1);
 
@@ -168,10 +192,21 @@
 		rules[i].port = 443;
 		rules[i].target_count = 1;
 		rules[i].targets[0].weight = 1;
-		g_strlcpy(rules[i].targets[0].service, "examen",
-			  NAME_BYTES_MAX);
+		g_strlcpy(rules[i].targets[0].service, service, NAME_BYTES_MAX);
 	}
 	routing_unref(network->routing);
 	network->routing = routing_create(version, 15000, rules, count);
 	network->routing_revision = ++network->store_revision;
 }
+
+void network_publish_routes(struct network *network, uint64_t version,
+			    uint32_t count)
+{
+	routing_publish(network, version, count, "examen");
+}
+
+void network_publish_route(struct network *network, uint64_t version,
+			   const char *service)
+{
+	routing_publish(network, version, 1, service);
+}
--- a/tests/sharing/test_replica.c
+++ b/tests/sharing/test_replica.c
@@ -4,12 +4,17 @@
  */
 
 #include <check.h>
+#include <string.h>
 
 #include "common/clock.h"
 #include "sharing/replica.h"
 #include "suite.h"
 
 #define NOW_NS (1000 * NS_PER_S)
+#define HOST_ID "i-0007"
+#define SERVICE "examen"
+/* A service to which no route leads. */
+#define UNUSED_SERVICE "archive"
 
 static void change_ignore(void *context, const struct known_host *host,
 			  bool is_new)
@@ -27,17 +32,24 @@
 	(void)is_restarted;
 }
 
-static bool service_is_used(void *context, const char *service)
+static void deferral_ignore(void *context, const struct known_host *host)
 {
 	(void)context;
-	(void)service;
-	return true;
+	(void)host;
+}
+
+static bool can_change_service(void *context, const char *from, const char *to)
+{
+	(void)context;
+	(void)from;
+	return strcmp(to, UNUSED_SERVICE) != 0;
 }
 
 static struct host_table *table_create(void)
 {
 	const struct host_table_options options = {
-		.is_service_used = service_is_used,
+		.can_change_service = can_change_service,
+		.on_deferred = deferral_ignore,
 		.on_changed = change_ignore,
 		.on_ended = end_ignore,
 	};
@@ -45,13 +57,12 @@
 	return host_table_create(&options);
 }
 
-static void change_apply(struct host_table *table, uint64_t revision,
-			 bool is_removed)
+static void announcement_apply(struct host_table *table, uint64_t revision,
+			       const char *service, bool is_removed)
 {
-	const struct host_update update = {
+	struct host_update update = {
 		.is_removed = is_removed,
-		.host = { .id = "i-0007",
-			  .service = "examen",
+		.host = { .id = HOST_ID,
 			  .zone = "a",
 			  .port = 80,
 			  .slots = 2,
@@ -59,12 +70,20 @@
 	};
 	struct sharing_message message = { .kind = SHARING_UPDATE };
 
+	g_strlcpy(update.host.service, service, sizeof(update.host.service));
+
 	message.hosts = g_array_new(FALSE, FALSE, sizeof(update));
 	g_array_append_val(message.hosts, update);
 	replica_apply(table, NULL, &message, NOW_NS);
 	g_array_unref(message.hosts);
 }
 
+static void change_apply(struct host_table *table, uint64_t revision,
+			 bool is_removed)
+{
+	announcement_apply(table, revision, SERVICE, is_removed);
+}
+
 /*
  * Guards against a host that stays in use because its removal came before its
  * announcement.
@@ -99,6 +118,44 @@
 }
 END_TEST
 
+/* Fills @message as for a member that lists, or asks for all changes. */
+static void member_ask(struct host_table *table, bool is_listing,
+		       struct sharing_message *message)
+{
+	message->kind = SHARING_UPDATE;
+	if (is_listing)
+		replica_fill_listing(table, "", 60, NOW_NS, message);
+	else
+		replica_fill_changes(table, 40, 60, NOW_NS, message);
+}
+
+/*
+ * Guards against members that never get a deferred announcement: its revision
+ * is older than that of the routes with which it is applied.
+ */
+START_TEST(deferred_announcement_is_passed_on) {
+	static const bool is_listing[] = { false, true };
+	struct sharing_message message = { 0 };
+	struct host_table *table = table_create();
+	struct host_table *member = table_create();
+	const struct known_host *host;
+
+	change_apply(table, 50, false);
+	announcement_apply(table, 60, UNUSED_SERVICE, false);
+	member_ask(table, is_listing[_i], &message);
+	ck_assert_uint_eq(message.hosts->len, 2);
+	replica_apply(member, NULL, &message, NOW_NS);
+	host = host_table_find(member, HOST_ID);
+	ck_assert_str_eq(host->published.service, SERVICE);
+	ck_assert_uint_eq(host->published.revision, 50);
+	ck_assert_str_eq(host->deferred->service, UNUSED_SERVICE);
+	ck_assert_uint_eq(host->deferred->revision, 60);
+	sharing_message_clear(&message);
+	host_table_destroy(member);
+	host_table_destroy(table);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("replica");
@@ -106,6 +163,7 @@
 
 	tcase_add_test(cases, late_announcement_restores_no_removed_host);
 	tcase_add_test(cases, removal_of_an_unknown_host_is_passed_on);
+	tcase_add_loop_test(cases, deferred_announcement_is_passed_on, 0, 2);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -49,6 +49,41 @@
 }
 END_TEST
 
+static void service_check(uint32_t number, const char *service)
+{
+	char id[HOST_ID_BYTES_MAX + 1];
+
+	g_snprintf(id, sizeof(id), "i-%04x", number);
+	for (uint32_t i = 0; i < NODES; i++) {
+		const struct known_host *host = host_table_find(
+			steering_hosts(network.nodes[i].steering), id);
+
+		ck_assert_str_eq(host->published.service, service);
+	}
+}
+
+/*
+ * Guards against followers that never learn of a host's new service, because
+ * its announcement was deferred and is older than the routes that followed.
+ */
+START_TEST(host_changes_its_service_before_the_routes) {
+	network_move_host(&network, 7, "archive");
+	network_run(&network, 1000);
+	/* It lists from a member that has deferred the announcement. */
+	network.is_store_down = true;
+	network_restart(&network, NODES - 1);
+	network_run(&network, 1000);
+	network.is_store_down = false;
+	network_run(&network, 1000);
+	service_check(7, "examen");
+	network_publish_route(&network, 2, "archive");
+	network_run(&network, 1000);
+	ck_assert_uint_eq(
+		network_synced_count(&network, network.store_revision), NODES);
+	service_check(7, "archive");
+}
+END_TEST
+
 START_TEST(routes_reach_all) {
 	network_publish_routes(&network, 2, ROUTES + 100);
 	network_run(&network, 1000);
@@ -407,6 +442,7 @@
 	tcase_add_test(cases, pushes_during_a_listing_lose_no_host);
 	tcase_add_test(cases, restarted_reader_is_not_asked_for_listings);
 	tcase_add_test(cases, no_update_is_lost_with_lost_datagrams);
+	tcase_add_test(cases, host_changes_its_service_before_the_routes);
 	tcase_add_test(cases, open_flows_of_a_zone_are_summed);
 	tcase_add_test(cases, open_flows_of_all_hosts_of_a_zone_are_known);
 	tcase_add_test(cases, leader_is_printed_as_an_address);
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -58,12 +58,10 @@
 	fixture->lookup_count++;
 }
 
-static void rejection_ignore(void *context, const struct known_host *host,
-			     const struct host_announcement *announcement)
+static void deferral_ignore(void *context, const struct known_host *host)
 {
 	(void)context;
 	(void)host;
-	(void)announcement;
 }
 
 static void slowness_ignore(void *context, const struct known_host *host)
@@ -88,7 +86,7 @@
 		.reset = reset_record,
 		.probe = probe_count,
 		.lookup_token = lookup_count,
-		.on_host_rejected = rejection_ignore,
+		.on_host_deferred = deferral_ignore,
 		.on_host_changed = changed_ignore,
 		.on_host_ended = changed_ignore,
 		.on_host_silence_changed = silence_count,
--- a/tests/steering/test_service_change.c
+++ b/tests/steering/test_service_change.c
@@ -20,7 +20,7 @@
 	fixture_close(&fixture);
 }
 
-static void route_to(const char *service)
+static void route_to(uint64_t version, const char *service)
 {
 	struct route_rule *rules = g_new0(struct route_rule, 1);
 	struct routing *routing;
@@ -30,7 +30,7 @@
 	rules[0].target_count = 1;
 	rules[0].targets[0].weight = 1;
 	g_strlcpy(rules[0].targets[0].service, service, NAME_BYTES_MAX);
-	routing = routing_create(100, 15000, rules, 1);
+	routing = routing_create(version, 15000, rules, 1);
 	steering_set_routing(fixture.steering, routing);
 	routing_unref(routing);
 }
@@ -45,12 +45,95 @@
 	moved.revision += 10;
 	g_strlcpy(moved.service, "archive", sizeof(moved.service));
 	fixture_put(&fixture, &moved);
-	route_to("archive");
+	route_to(100, "archive");
 	ck_assert_str_eq(fixture_host(&fixture, 1)->published.service,
 			 "archive");
 }
 END_TEST
 
+/* What happens between a deferred announcement and the routes to its service. */
+enum interlude {
+	OWN_ANNOUNCEMENT, /* the host writes its entry again */
+	LATE_REMOVAL, /* older than the deferred announcement */
+	REMOVAL,
+	OTHER_ROUTES,
+	LATE_ANNOUNCEMENT, /* older than the deferred one */
+};
+
+/*
+ * Guards against a deferred announcement that is applied although a newer
+ * change has replaced it, or dropped although none has.
+ */
+START_TEST(deferred_announcement_holds_until_a_newer_change) {
+	static const struct {
+		enum interlude interlude;
+		const char *service;
+		bool is_removed;
+	} cases[] = {
+		{ OWN_ANNOUNCEMENT, "examen", false },
+		{ LATE_REMOVAL, "archive", false },
+		{ REMOVAL, "examen", true },
+		{ OTHER_ROUTES, "archive", false },
+		{ LATE_ANNOUNCEMENT, "archive", false },
+	};
+	struct host_table *table = steering_hosts(fixture.steering);
+	struct known_host *host = fixture_host(&fixture, 1);
+	struct host_announcement own = host->published;
+	struct host_announcement moved = own;
+	int64_t now_ns = fixture.clock.now_ns;
+
+	moved.revision += 20;
+	g_strlcpy(moved.service, "archive", sizeof(moved.service));
+	fixture_put(&fixture, &moved);
+	ck_assert_str_eq(host->published.service, "examen");
+	switch (cases[_i].interlude) {
+	case OWN_ANNOUNCEMENT:
+		own.revision += 30;
+		fixture_put(&fixture, &own);
+		break;
+	case LATE_REMOVAL:
+		host_table_remove(table, own.id, own.revision + 10, now_ns);
+		break;
+	case REMOVAL:
+		host_table_remove(table, own.id, own.revision + 30, now_ns);
+		break;
+	case OTHER_ROUTES:
+		route_to(99, "examen");
+		break;
+	case LATE_ANNOUNCEMENT:
+		own.revision += 10;
+		fixture_put(&fixture, &own);
+		break;
+	}
+	route_to(100, "archive");
+	ck_assert_str_eq(host->published.service, cases[_i].service);
+	ck_assert(host->is_removed == cases[_i].is_removed);
+}
+END_TEST
+
+/*
+ * Guards against a balancer that starts and takes a host to a service without a
+ * route, because it learns of the hosts before the routes.
+ */
+START_TEST(services_change_only_once_routes_are_known) {
+	struct known_host *host;
+	struct host_announcement moved;
+
+	fixture_close(&fixture);
+	fixture_open_unsynced(&fixture, "a");
+	fixture_publish(&fixture, 1, "a");
+	host = fixture_host(&fixture, 1);
+	moved = host->published;
+	moved.revision += 10;
+	g_strlcpy(moved.service, "archive", sizeof(moved.service));
+	fixture_put(&fixture, &moved);
+	route_to(100, "examen");
+	ck_assert_str_eq(host->published.service, "examen");
+	route_to(101, "archive");
+	ck_assert_str_eq(host->published.service, "archive");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("service change");
@@ -59,6 +142,9 @@
 	tcase_add_checked_fixture(cases, hosts_open, hosts_close);
 	tcase_add_test(cases,
 		       announcement_before_its_routes_is_applied_with_them);
+	tcase_add_loop_test(
+		cases, deferred_announcement_holds_until_a_newer_change, 0, 5);
+	tcase_add_test(cases, services_change_only_once_routes_are_known);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
