Raise a revision only with the last removal of a listing

Callers would get new flows to hosts that had left, through all balancers of a zone but one, until those hosts were published again.

Cause: a reader whose history was dropped lists, and so learns of all removals since at one revision, that of the listing. More than about 60 of them do not fit into one message, which then gave the revision before theirs as complete. The next poll got the same message again, so followers became stale after 1.5 s and read the store themselves, from that revision.

Changes that need several messages now continue after a cursor (revision and digest of the id), bound to the member that sends them and to the revision that they are based on; the response names the cursor that it continues. While a removal is left out, the revision does not rise. A member passes on no change above its own revision, so that nothing can come between the messages.

--- a/include/sharing/replica.h
+++ b/include/sharing/replica.h
@@ -12,11 +12,12 @@
 /**
  * Adds the hosts that changed after @after, oldest first, until the message is
  * full. Sets the revision that the receiver reaches by applying it: @revision,
- * or, with has_more set, the one before that of the first host left out, as
- * hosts left out may share the revision of the last one that fitted.
+ * or, with has_more set, one up to which nothing is left out. Then the cursor is
+ * set, too: the same call with it adds the changes that follow. @cursor is empty
+ * for the first ones.
  */
 void replica_fill_changes(struct host_table *table, uint64_t after,
-			  uint64_t revision, int64_t now_ns,
+			  const char *cursor, uint64_t revision, int64_t now_ns,
 			  struct sharing_message *message);
 /** Adds the published hosts whose ids follow @cursor until it is full. */
 void replica_fill_listing(struct host_table *table, const char *cursor,
--- a/include/sharing/sharing_message.h
+++ b/include/sharing/sharing_message.h
@@ -64,7 +64,8 @@
 
 	/* SHARING_POLL, SHARING_UPDATE */
 	bool is_listing; /* pages of hosts in order of id */
-	char cursor[HOST_ID_BYTES_MAX + 1]; /* last id of the page */
+	/* SHARING_POLL: continue after it. SHARING_UPDATE: end of the hosts. */
+	char cursor[HOST_ID_BYTES_MAX + 1];
 	struct host_load loads[HOST_LOADS_MAX];
 	size_t load_count;
 
@@ -76,8 +77,8 @@
 
 	/* SHARING_UPDATE */
 	/*
-	 * The message holds all changes after this revision. In a page of a
-	 * listing: page id, see listing_page_id().
+	 * The message holds all changes after this revision. In the response
+	 * to a poll with a cursor: page id, see page_id().
 	 */
 	uint64_t base_revision;
 	/*
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -1,6 +1,8 @@
 #include "sharing/replica.h"
 
+#include <inttypes.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/clock.h"
 
@@ -16,14 +18,31 @@
 	const struct host_announcement *announcement; /* NULL if it was removed */
 };
 
+static uint64_t id_digest(const char *id)
+{
+	return XXH3_64bits(id, strlen(id));
+}
+
 static int change_compare(const void *left, const void *right)
 {
 	const struct host_change *a = left;
 	const struct host_change *b = right;
+	uint64_t a_digest;
+	uint64_t b_digest;
 
 	if (a->revision != b->revision)
 		return a->revision < b->revision ? -1 : 1;
-	return strcmp(a->id, b->id);
+	a_digest = id_digest(a->id);
+	b_digest = id_digest(b->id);
+	return a_digest < b_digest ? -1 : a_digest > b_digest;
+}
+
+/* Cursors have the order of the changes. */
+static void cursor_print(const struct host_change *change,
+			 char cursor[HOST_ID_BYTES_MAX + 1])
+{
+	g_snprintf(cursor, HOST_ID_BYTES_MAX + 1, "%016" PRIx64 "%016" PRIx64,
+		   change->revision, id_digest(change->id));
 }
 
 static void update_fill(const struct host_change *change, int64_t now_ns,
@@ -60,14 +79,21 @@
 	return true;
 }
 
-static void change_add(GArray *changes, uint64_t after,
+/* Revisions after @after, up to @last. */
+struct revision_range {
+	uint64_t after;
+	uint64_t last;
+};
+
+static void change_add(GArray *changes, const struct revision_range *range,
 		       const struct host_change *change)
 {
-	if (change->revision > after)
+	if (change->revision > range->after && change->revision <= range->last)
 		g_array_append_val(changes, *change);
 }
 
-static void host_changes_add(GArray *changes, uint64_t after,
+static void host_changes_add(GArray *changes,
+			     const struct revision_range *range,
 			     const struct known_host *host)
 {
 	const struct host_change published = {
@@ -84,11 +110,12 @@
 		.announcement = host->deferred,
 	};
 
-	change_add(changes, after, &published);
-	change_add(changes, after, &deferred);
+	change_add(changes, range, &published);
+	change_add(changes, range, &deferred);
 }
 
-static void unknown_removals_add(GArray *changes, uint64_t after,
+static void unknown_removals_add(GArray *changes,
+				 const struct revision_range *range,
 				 GHashTable *removals)
 {
 	GHashTableIter iterator;
@@ -103,52 +130,89 @@
 			.id = key,
 		};
 
-		change_add(changes, after, &change);
+		change_add(changes, range, &change);
 	}
 }
 
-static GArray *changes_find(struct host_table *table, uint64_t after)
+/*
+ * A member has all changes up to its revision only, so later ones that it knows
+ * are left out: others may come between them.
+ */
+static GArray *changes_find(struct host_table *table,
+			    const struct revision_range *range)
 {
 	GArray *changes = g_array_new(FALSE, FALSE, sizeof(struct host_change));
 	GHashTableIter iterator;
 	gpointer value;
 
 	/* Most polls find no change and must not scan all hosts. */
-	if (after >= host_table_newest_revision(table))
+	if (range->after >= host_table_newest_revision(table))
 		return changes;
 	g_hash_table_iter_init(&iterator, host_table_all(table));
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		host_changes_add(changes, after, value);
-	unknown_removals_add(changes, after,
+		host_changes_add(changes, range, value);
+	unknown_removals_add(changes, range,
 			     host_table_unknown_removals(table));
 	g_array_sort(changes, change_compare);
 	return changes;
 }
 
+static guint changes_skip(const GArray *changes, const char *cursor)
+{
+	char own[HOST_ID_BYTES_MAX + 1];
+	guint count = 0;
+
+	for (; count < changes->len; count++) {
+		cursor_print(&g_array_index(changes, struct host_change, count),
+			     own);
+		if (strcmp(own, cursor) > 0)
+			break;
+	}
+	return count;
+}
+
+/*
+ * The revision up to which no change from @first on is left out. A listing shows
+ * that a host was removed, but not when, so the revision of a removal may be
+ * higher than the one of the store.
+ */
+static uint64_t complete_revision(const GArray *changes, guint first,
+				  const struct revision_range *range)
+{
+	if (first == changes->len)
+		return range->last;
+	for (guint i = first; i < changes->len; i++) {
+		const struct host_change *change =
+			&g_array_index(changes, struct host_change, i);
+
+		if (!change->announcement)
+			return range->after;
+	}
+	return g_array_index(changes, struct host_change, first).revision - 1;
+}
+
 void replica_fill_changes(struct host_table *table, uint64_t after,
-			  uint64_t revision, int64_t now_ns,
+			  const char *cursor, uint64_t revision, int64_t now_ns,
 			  struct sharing_message *message)
 {
-	GArray *changes = changes_find(table, after);
-	const struct host_change *change = NULL;
+	const struct revision_range range = { .after = after,
+					      .last = revision };
+	GArray *changes = changes_find(table, &range);
+	guint count = changes_skip(changes, cursor);
 	size_t bytes = 0;
-	guint count = 0;
 
 	message->hosts = g_array_new(FALSE, FALSE, sizeof(struct host_update));
 	for (; count < changes->len; count++) {
-		change = &g_array_index(changes, struct host_change, count);
+		const struct host_change *change =
+			&g_array_index(changes, struct host_change, count);
+
 		if (!change_append(change, now_ns, CHANGES_BYTES_MAX, &bytes,
 				   message))
 			break;
+		cursor_print(change, message->cursor);
 	}
 	message->has_more = count < changes->len;
-	/*
-	 * Several hosts may be removed at one revision, that of a listing, so
-	 * hosts left out may share the revision of the last one that fitted.
-	 */
-	message->revision = revision;
-	if (message->has_more)
-		message->revision = MIN(change->revision - 1, revision);
+	message->revision = complete_revision(changes, count, &range);
 	message->base_revision = after;
 	g_array_unref(changes);
 }
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -1,5 +1,7 @@
 #include "sharing_state.h"
 
+#include <string.h>
+
 #include "sharing/replica.h"
 
 static void leader_poll(struct sharing *sharing, int64_t now_ns)
@@ -80,27 +82,57 @@
 	}
 }
 
+/* True if @update leaves out no change after those that the replica has. */
+static bool is_contiguous(const struct sharing *sharing, uint32_t address,
+			  const struct sharing_message *update)
+{
+	const char *cursor = changes_cursor(sharing, address);
+
+	return update->base_revision <=
+		       sharing->options.replica_status->revision ||
+	       (*cursor != '\0' && update->base_revision == page_id(cursor));
+}
+
+/*
+ * Records where the changes continue. Returns false without progress: the same
+ * changes would come again at once.
+ */
+static bool changes_continue(struct sharing *sharing, uint32_t address,
+			     const char *cursor)
+{
+	struct changes_position *position = &sharing->changes_position;
+
+	if (strcmp(cursor, changes_cursor(sharing, address)) <= 0)
+		return false;
+	position->source = address;
+	position->revision = sharing->options.replica_status->revision;
+	g_strlcpy(position->cursor, cursor, sizeof(position->cursor));
+	return true;
+}
+
 /* Returns true if the rest is to be requested at once. */
-static bool host_changes_apply(struct sharing *sharing,
+static bool host_changes_apply(struct sharing *sharing, uint32_t address,
 			       const struct sharing_message *update,
 			       int64_t now_ns)
 {
 	struct replica_status *replica_status = sharing->options.replica_status;
-	bool is_newer = update->revision > replica_status->revision;
+	bool has_routes = routes_version(sharing) >= update->routes_version;
 
 	if (!replica_status->is_complete ||
-	    update->base_revision > replica_status->revision) {
+	    !is_contiguous(sharing, address, update)) {
 		sharing->counters[SHARING_UPDATES_REJECTED]++;
 		return false;
 	}
 	replica_apply(steering_hosts(sharing->options.steering), NULL, update,
 		      now_ns);
-	if (routes_version(sharing) < update->routes_version)
-		return false;
-	replica_status->revision =
-		MAX(replica_status->revision, update->revision);
-	/* Without progress, the same changes would come again at once. */
-	return update->has_more && is_newer;
+	if (has_routes)
+		replica_status->revision =
+			MAX(replica_status->revision, update->revision);
+	if (update->has_more)
+		return changes_continue(sharing, address, update->cursor);
+	if (has_routes)
+		sharing->changes_position.source = 0;
+	return false;
 }
 
 /* True if the replica has all that the member had when it sent @update. */
@@ -130,7 +162,8 @@
 		wants_more =
 			listing_handle_update(sharing, address, update, now_ns);
 	} else if (update->chunk == 0 && !update->needs_listing) {
-		wants_more = host_changes_apply(sharing, update, now_ns);
+		wants_more =
+			host_changes_apply(sharing, address, update, now_ns);
 	}
 	return routes_handle_chunk(sharing, address, update, now_ns) ||
 	       wants_more;
--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -17,6 +17,8 @@
 		poll.is_listing = true;
 		g_strlcpy(poll.cursor, sharing->cursor, sizeof(poll.cursor));
 	} else {
+		g_strlcpy(poll.cursor, changes_cursor(sharing, address),
+			  sizeof(poll.cursor));
 		poll.chunk = routes_next_chunk(sharing, address);
 	}
 	poll.load_count = serve_loads_fill(sharing, false, poll.loads);
@@ -149,7 +151,7 @@
 
 	/* A late response to an earlier poll carries another page. */
 	if (address != sharing->listing_source ||
-	    update->base_revision != listing_page_id(sharing->cursor))
+	    update->base_revision != page_id(sharing->cursor))
 		return false;
 	if (!sharing->listing)
 		sharing->listing = host_listing_create(update->revision);
--- a/sharing/sharing_send.c
+++ b/sharing/sharing_send.c
@@ -1,5 +1,8 @@
 #include "sharing_state.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 uint32_t sharing_replica_age_ms(const struct sharing *sharing, int64_t now_ns)
 {
 	const struct replica_status *replica_status =
@@ -20,6 +23,22 @@
 	       routes_version(sharing) >= replica_status->listed_routes_version;
 }
 
+uint64_t page_id(const char *cursor)
+{
+	/* The base revision is limited to 63 bits on the wire. */
+	return XXH3_64bits(cursor, strlen(cursor)) >> 1;
+}
+
+const char *changes_cursor(const struct sharing *sharing, uint32_t address)
+{
+	const struct changes_position *position = &sharing->changes_position;
+
+	if (position->source != address ||
+	    position->revision != sharing->options.replica_status->revision)
+		return "";
+	return position->cursor;
+}
+
 bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns)
 {
 	return now_ns - sharing->options.replica_status->confirmed_ns >
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -1,17 +1,10 @@
 #include "sharing_state.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #include "sharing/replica.h"
 #include "sharing/routing_codec.h"
 
-uint64_t listing_page_id(const char *cursor)
-{
-	/* The base revision is limited to 63 bits on the wire. */
-	return XXH3_64bits(cursor, strlen(cursor)) >> 1;
-}
-
 /* Keeps the versions that followers may have, to send only the changes. */
 static void recent_routes_add(struct sharing *sharing, struct routing *routing)
 {
@@ -94,12 +87,15 @@
 		return;
 	if (is_listing) {
 		replica_fill_listing(table, cursor, revision, now_ns, update);
-		update->base_revision = listing_page_id(cursor);
+		update->base_revision = page_id(cursor);
 	} else if (after <= revision) {
 		/* Some removals may have been forgotten. */
 		update->needs_listing = after <
 					host_table_oldest_revision(table);
-		replica_fill_changes(table, after, revision, now_ns, update);
+		replica_fill_changes(table, after, cursor, revision, now_ns,
+				     update);
+		if (*cursor != '\0')
+			update->base_revision = page_id(cursor);
 	}
 }
 
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -69,6 +69,16 @@
 	GByteArray *bytes;
 };
 
+/**
+ * Where the changes of hosts that a member sends continue. It applies to that
+ * member and to the revision that the replica had.
+ */
+struct changes_position {
+	uint32_t source; /* 0 for none */
+	uint64_t revision;
+	char cursor[HOST_ID_BYTES_MAX + 1];
+};
+
 struct sharing {
 	struct sharing_options options;
 	uint32_t zone;
@@ -108,6 +118,9 @@
 	struct host_load reported_loads[HOST_LOADS_MAX]; /* in the last poll */
 	size_t reported_load_count;
 
+	/* Changes of hosts that are received in several messages. */
+	struct changes_position changes_position;
+
 	/* Routes being received in chunks. */
 	uint64_t announced_routes_version; /* newest one, 0 for none */
 	struct routes_transfer routes_transfer;
@@ -140,8 +153,10 @@
 /** True if the local replica was not confirmed within REPLICA_AGE_MAX_NS. */
 bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns);
 
-/** Page id of a listing: hash of the cursor that precedes the page. */
-uint64_t listing_page_id(const char *cursor);
+/** Identifies what follows @cursor: a page of a listing, or changes. */
+uint64_t page_id(const char *cursor);
+/** Where the changes from this member continue; empty for from the start. */
+const char *changes_cursor(const struct sharing *sharing, uint32_t address);
 
 /* Gossip, and the announcement of the first listing: sharing_gossip.c. */
 void gossip_tick(struct sharing *sharing, int64_t now_ns);
--- a/tests/sharing/test_explore.c
+++ b/tests/sharing/test_explore.c
@@ -47,6 +47,9 @@
 	ACTION_WITHDRAW,
 	ACTION_ROUTES,
 	ACTION_LOSS,
+	BASIC_ACTIONS,
+	/* Later actions must not change what the known seeds do. */
+	ACTION_DROP_HISTORY = BASIC_ACTIONS,
 	ACTIONS,
 };
 
@@ -149,6 +152,10 @@
 		network.duplicate_permille = random_below(2) ? random_below(60)
 							     : 0;
 		break;
+	case ACTION_DROP_HISTORY:
+		for (uint32_t i = 0; i < network.node_count; i++)
+			network.nodes[i].store_is_synced = false;
+		break;
 	case ACTIONS:
 		break;
 	}
@@ -315,7 +322,8 @@
 	}
 }
 
-static void seed_explore(uint32_t seed)
+/* Draws from the first @actions. */
+static void seed_explore(uint32_t seed, uint32_t actions)
 {
 	generator = g_rand_new_with_seed(seed);
 	memset(applied_states, 0, sizeof(applied_states));
@@ -334,7 +342,7 @@
 		uint32_t pause_ms = STEP_MS * (1 + random_below(16));
 
 		steps_run(seed, pause_ms);
-		action_run(random_below(ACTIONS));
+		action_run(random_below(actions));
 		ms += pause_ms;
 	}
 	faults_end();
@@ -369,13 +377,23 @@
 
 	seeds_read(&first, &last);
 	for (uint32_t seed = first; seed <= last; seed++)
-		seed_explore(seed);
+		seed_explore(seed, BASIC_ACTIONS);
 	for (size_t i = 0; i < G_N_ELEMENTS(seed_regressions); i++)
-		seed_explore(seed_regressions[i]);
+		seed_explore(seed_regressions[i], BASIC_ACTIONS);
 	printf("figure explored_seeds %u seeds\n", last - first + 1);
 }
 END_TEST
 
+START_TEST(no_update_is_lost_with_a_dropped_history) {
+	uint32_t first;
+	uint32_t last;
+
+	seeds_read(&first, &last);
+	for (uint32_t seed = first; seed <= last; seed++)
+		seed_explore(seed, ACTIONS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("explore");
@@ -383,6 +401,7 @@
 
 	tcase_set_timeout(cases, 3600);
 	tcase_add_test(cases, no_update_is_lost_with_faults);
+	tcase_add_test(cases, no_update_is_lost_with_a_dropped_history);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/sharing/test_replica.c
+++ b/tests/sharing/test_replica.c
@@ -108,7 +108,7 @@
 	const struct host_update *update;
 
 	change_apply(table, 60, true);
-	replica_fill_changes(table, 55, 60, NOW_NS, &message);
+	replica_fill_changes(table, 55, "", 60, NOW_NS, &message);
 	ck_assert_uint_eq(message.hosts->len, 1);
 	update = &g_array_index(message.hosts, struct host_update, 0);
 	ck_assert(update->is_removed);
@@ -126,7 +126,7 @@
 	if (is_listing)
 		replica_fill_listing(table, "", 60, NOW_NS, message);
 	else
-		replica_fill_changes(table, 40, 60, NOW_NS, message);
+		replica_fill_changes(table, 40, "", 60, NOW_NS, message);
 }
 
 /*
@@ -156,6 +156,68 @@
 }
 END_TEST
 
+#define REMOVED_HOSTS 200
+
+static void hosts_remove(struct host_table *table)
+{
+	char id[HOST_ID_BYTES_MAX + 1];
+
+	for (uint32_t i = 0; i < REMOVED_HOSTS; i++) {
+		g_snprintf(id, sizeof(id), "i-%04x", 0x100 + i);
+		host_table_remove(table, id, 60, NOW_NS);
+	}
+}
+
+/*
+ * Guards against a member that counts as up to date with a part of the removals
+ * of one listing: their revision says nothing about when they happened.
+ */
+START_TEST(revision_rises_with_the_last_removal) {
+	struct sharing_message message = { 0 };
+	struct host_table *table = table_create();
+	struct host_table *member = table_create();
+	char cursor[HOST_ID_BYTES_MAX + 1] = "";
+	uint32_t messages = 0;
+
+	hosts_remove(table);
+	change_apply(table, 50, false);
+	do {
+		message.kind = SHARING_UPDATE;
+		replica_fill_changes(table, 40, cursor, 60, NOW_NS, &message);
+		replica_apply(member, NULL, &message, NOW_NS);
+		ck_assert_uint_eq(message.revision, message.has_more ? 40 : 60);
+		g_strlcpy(cursor, message.cursor, sizeof(cursor));
+		sharing_message_clear(&message);
+	} while (message.has_more && ++messages < REMOVED_HOSTS);
+	ck_assert_uint_gt(messages, 1);
+	ck_assert_uint_eq(
+		g_hash_table_size(host_table_unknown_removals(member)),
+		REMOVED_HOSTS);
+	ck_assert_ptr_nonnull(host_table_find(member, HOST_ID));
+	host_table_destroy(member);
+	host_table_destroy(table);
+}
+END_TEST
+
+/*
+ * Guards against a member that takes over the revision of changes of which it
+ * has only the newest ones, from a member that is in the middle of a transfer.
+ */
+START_TEST(changes_above_the_own_revision_are_not_passed_on) {
+	struct sharing_message message = { .kind = SHARING_UPDATE };
+	struct host_table *table = table_create();
+
+	change_apply(table, 50, false);
+	hosts_remove(table);
+	replica_fill_changes(table, 40, "", 55, NOW_NS, &message);
+	ck_assert_uint_eq(message.hosts->len, 1);
+	ck_assert(!message.has_more);
+	ck_assert_uint_eq(message.revision, 55);
+	sharing_message_clear(&message);
+	host_table_destroy(table);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("replica");
@@ -164,6 +226,8 @@
 	tcase_add_test(cases, late_announcement_restores_no_removed_host);
 	tcase_add_test(cases, removal_of_an_unknown_host_is_passed_on);
 	tcase_add_loop_test(cases, deferred_announcement_is_passed_on, 0, 2);
+	tcase_add_test(cases, revision_rises_with_the_last_removal);
+	tcase_add_test(cases, changes_above_the_own_revision_are_not_passed_on);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/sharing/test_routes.c
+++ b/tests/sharing/test_routes.c
@@ -41,6 +41,21 @@
 	network_run(&network, ms);
 }
 
+static void hosts_check(const struct node *exempt, uint32_t count)
+{
+	for (uint32_t i = 0; i < NODES; i++) {
+		struct node *node = &network.nodes[i];
+		uint32_t known =
+			host_table_count(steering_hosts(node->steering));
+
+		if (node == exempt)
+			continue;
+		ck_assert_msg(known == count,
+			      "node %u of zone %s has %u of %u hosts", i,
+			      node->zone, known, count);
+	}
+}
+
 static void routes_check(const struct node *exempt, uint64_t version)
 {
 	for (uint32_t i = 0; i < NODES; i++) {
@@ -223,6 +238,30 @@
 }
 END_TEST
 
+/*
+ * Guards against removed hosts that a zone keeps for good because its reader
+ * failed while it passed their removals on, which take several messages. A
+ * listing has shown them to the reader, so they have one revision there.
+ */
+START_TEST(removals_survive_the_failure_of_their_reader) {
+	const uint32_t left = HOSTS / 2;
+	const uint32_t published = 6 * HOSTS;
+	struct node *reader = network_find_reader(&network, _i % ZONES);
+
+	for (uint32_t number = HOSTS + 1; number <= published; number++)
+		network_publish_host(&network, number, false);
+	network_run(&network, APPLY_MS);
+	for (uint32_t number = left + 1; number <= published; number++)
+		network_withdraw_host(&network, number);
+	reader->store_is_synced = false;
+	network_read_now(&network, network_node_index(&network, reader));
+	network_run(&network, 1 + STEP_MS * _i);
+	reader->is_down = true;
+	network_run(&network, APPLY_MS);
+	hosts_check(reader, left);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("routes");
@@ -247,6 +286,8 @@
 		STEPS * 2);
 	tcase_add_loop_test(cases, restarted_member_passes_on_what_it_knows, 0,
 			    STEPS);
+	tcase_add_loop_test(cases, removals_survive_the_failure_of_their_reader,
+			    0, STEPS);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -84,6 +84,29 @@
 }
 END_TEST
 
+/*
+ * Guards against followers that never get past the removals that fit into one
+ * message, and then all read the store. A reader whose history was dropped
+ * lists, so it learns of all removals at one revision.
+ */
+START_TEST(many_removals_of_one_listing_reach_all) {
+	const uint32_t left = 20;
+
+	for (uint32_t number = left + 1; number <= HOSTS; number++)
+		network_withdraw_host(&network, number);
+	for (uint32_t i = 0; i < NODES; i++)
+		network.nodes[i].store_is_synced = false;
+	network_run(&network, 3000);
+	ck_assert_uint_eq(network_reader_count(&network), ZONES);
+	ck_assert_uint_eq(
+		network_synced_count(&network, network.store_revision), NODES);
+	for (uint32_t i = 0; i < NODES; i++)
+		ck_assert_uint_eq(host_table_count(steering_hosts(
+					  network.nodes[i].steering)),
+				  left);
+}
+END_TEST
+
 START_TEST(routes_reach_all) {
 	network_publish_routes(&network, 2, ROUTES + 100);
 	network_run(&network, 1000);
@@ -443,6 +466,7 @@
 	tcase_add_test(cases, restarted_reader_is_not_asked_for_listings);
 	tcase_add_test(cases, no_update_is_lost_with_lost_datagrams);
 	tcase_add_test(cases, host_changes_its_service_before_the_routes);
+	tcase_add_test(cases, many_removals_of_one_listing_reach_all);
 	tcase_add_test(cases, open_flows_of_a_zone_are_summed);
 	tcase_add_test(cases, open_flows_of_all_hosts_of_a_zone_are_known);
 	tcase_add_test(cases, leader_is_printed_as_an_address);
