Reset flows of drained hosts only while the path to others is open

A drained host may serve its flows for many seconds after its removal. Two retransmissions of a flow without progress of the host for 2 s reset it.

Such a flow is reset now only if something that was sent to another host within the last 600 ms was answered within 200 ms; if nothing was, another host is probed, and a later retransmission decides. The two reasons for which a packet of an open flow resets it have functions of their own.

--- a/steering/host_probes.c
+++ b/steering/host_probes.c
@@ -73,6 +73,14 @@
 		probe_start(steering, control, now_ns);
 }
 
+bool probe_check_path(struct steering *steering, int64_t since_ns)
+{
+	if (path_is_open(&steering->path, since_ns))
+		return true;
+	control_probe_start(steering, steering_now(steering));
+	return false;
+}
+
 /* After a host has ended, its address may be assigned to another one. */
 static bool is_address_reassigned(const struct steering *steering,
 				  const struct known_host *host)
@@ -117,14 +125,11 @@
 		       : result;
 }
 
-/* True if the path was open at some time since the host last answered a probe. */
-static bool has_open_path(const struct steering *steering,
-			  const struct host_health *health)
+/* Start of the first probe since the host last answered one. */
+static int64_t unanswered_since_ns(const struct host_health *health)
 {
-	return path_is_open(&steering->path,
-			    health->probe_timeouts > 0
-				    ? health->unanswered_since_ns
-				    : health->probed_ns);
+	return health->probe_timeouts > 0 ? health->unanswered_since_ns
+					  : health->probed_ns;
 }
 
 void steering_probe_end(struct steering *steering, const char *id,
@@ -133,7 +138,7 @@
 	struct known_host *host = host_table_find(steering->hosts, id);
 	int64_t now_ns = steering_now(steering);
 	struct host_health *health;
-	bool is_path_open;
+	bool is_path_open = false;
 	bool was_silent;
 
 	if (!host)
@@ -143,9 +148,9 @@
 	if (result != PROBE_RESULT_TIMEOUT && result != PROBE_RESULT_NONE)
 		path_record_response(&steering->path, health->probed_ns,
 				     now_ns);
-	is_path_open = has_open_path(steering, health);
-	if (result == PROBE_RESULT_TIMEOUT && !is_path_open)
-		control_probe_start(steering, now_ns);
+	if (result == PROBE_RESULT_TIMEOUT)
+		is_path_open =
+			probe_check_path(steering, unanswered_since_ns(health));
 	result = result_interpret(steering, host, result);
 	if (!health_probe_end(health, result, is_path_open, now_ns))
 		return;
--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -173,6 +173,43 @@
 	       llabs((int64_t)distance) > FLOW_WINDOW_BYTES;
 }
 
+/*
+ * A drained host may serve its flows for seconds after its removal. That it does
+ * not respond shows that it has ended only if the path to other hosts is open.
+ */
+static bool is_host_gone(struct steering *steering,
+			 const struct cached_flow *flow, int64_t now_ns)
+{
+	const struct known_host *host = flow->host;
+
+	if (!monitor_host_is_dead(host, now_ns))
+		return false;
+	if (!host->published.is_draining)
+		return flow->retransmissions >= 1;
+	return flow->retransmissions >= 2 &&
+	       probe_check_path(steering, now_ns - HEALTH_SILENCE_NS);
+}
+
+static bool is_host_down(const struct steering *steering,
+			 const struct cached_flow *flow)
+{
+	const struct host_health *health = &flow->host->health;
+	/* If a probe was accepted since, the host may be back. */
+	uint32_t retransmissions_min = health->is_refusing ? 1 : 2;
+
+	return health->is_down &&
+	       flow->retransmissions >= retransmissions_min &&
+	       !steering_is_isolated(steering);
+}
+
+static void open_flow_reset(struct steering *steering, struct cached_flow *flow,
+			    enum steering_reason reason,
+			    struct steering_decision *decision)
+{
+	steering_decide(decision, STEERING_RESET, reason, flow->host);
+	flow_cache_remove(steering->flows, flow);
+}
+
 void open_flow_handle(struct steering *steering,
 		      const struct token_packet *packet,
 		      struct cached_flow *flow, int64_t now_ns,
@@ -203,16 +240,9 @@
 	steering_decide(decision, STEERING_FORWARD,
 			packet->token != 0 ? STEERING_TOKEN : STEERING_CACHED,
 			host);
-	if (monitor_host_is_dead(host, now_ns) &&
-	    flow->retransmissions >= (host->published.is_draining ? 2 : 1)) {
-		steering_decide(decision, STEERING_RESET, STEERING_HOST_REMOVED,
-				host);
-		flow_cache_remove(steering->flows, flow);
-	} else if (flow->retransmissions >=
-			   (host->health.is_refusing ? 1 : 2) &&
-		   host->health.is_down && !steering_is_isolated(steering)) {
-		steering_decide(decision, STEERING_RESET, STEERING_HOST_SILENT,
-				host);
-		flow_cache_remove(steering->flows, flow);
-	}
+	if (is_host_gone(steering, flow, now_ns))
+		open_flow_reset(steering, flow, STEERING_HOST_REMOVED,
+				decision);
+	else if (is_host_down(steering, flow))
+		open_flow_reset(steering, flow, STEERING_HOST_SILENT, decision);
 }
--- a/steering/steering_state.h
+++ b/steering/steering_state.h
@@ -102,6 +102,11 @@
 /** Probes the host if its health asks for it. */
 void probe_consider(struct steering *steering, struct known_host *host,
 		    int64_t now_ns);
+/**
+ * True if the path to the hosts has been open at some time since @since_ns; if
+ * not, starts a probe to find out.
+ */
+bool probe_check_path(struct steering *steering, int64_t since_ns);
 void monitor_probes(struct steering *steering, int64_t now_ns);
 
 #endif
--- a/tests/steering/test_steering.c
+++ b/tests/steering/test_steering.c
@@ -142,9 +142,21 @@
 }
 END_TEST
 
-/* A drained host may serve for seconds after its removal. */
+/*
+ * Guards against resets of flows that a drained host serves for seconds after
+ * its removal, also if the balancer's own link is congested.
+ */
 START_TEST(flow_of_drained_host_is_reset_after_retransmissions) {
+	static const struct {
+		uint32_t others_wait_ms; /* until another host answers */
+		enum steering_verdict verdict;
+	} cases[] = {
+		{ 50, STEERING_RESET },
+		{ 300, STEERING_FORWARD },
+	};
 	struct known_host *host = flow_open(&fixture, 1);
+	const struct known_host *other =
+		fixture_host(&fixture, host->published.target_id == 1 ? 2 : 1);
 	struct host_announcement announcement = fixture_announcement(
 		&fixture, (uint32_t)host->published.target_id, "a");
 
@@ -162,10 +174,16 @@
 	ck_assert_int_eq(
 		packet_data_retransmit(&fixture, 1, host->token, 1).verdict,
 		STEERING_FORWARD);
-	fixture_advance(&fixture, 400);
+	packet_data(&fixture, 2, other->token, 500, 1000);
+	fixture_advance(&fixture, cases[_i].others_wait_ms);
+	packet_ack(&fixture, 2, other->token, 600, 1001);
+	fixture_advance(&fixture, 400 - cases[_i].others_wait_ms);
 	ck_assert_int_eq(
 		packet_data(&fixture, 1, host->token, 500, 1000).verdict,
-		STEERING_RESET);
+		cases[_i].verdict);
+	/* Another host is probed if the path is not known to be open. */
+	ck_assert_uint_eq(fixture.probe_count,
+			  cases[_i].verdict == STEERING_FORWARD);
 }
 END_TEST
 
@@ -414,8 +432,9 @@
 		       flows_of_removed_host_are_reset_after_grace_period);
 	tcase_add_loop_test(cases, flow_without_recent_packets_is_not_reset, 0,
 			    2);
-	tcase_add_test(cases,
-		       flow_of_drained_host_is_reset_after_retransmissions);
+	tcase_add_loop_test(cases,
+			    flow_of_drained_host_is_reset_after_retransmissions,
+			    0, 2);
 	tcase_add_test(cases, balancer_that_is_not_up_to_date_resets_no_flow);
 	tcase_add_test(cases,
 		       reused_address_gets_no_packet_of_the_previous_host);
