--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -150,6 +150,7 @@
 void steering_tick(struct steering *steering);
 /** Time of the handshakes with which flows opened. */
 const struct rtt_estimate *steering_handshake(const struct steering *steering);
+/** Whether packets pass promptly between callers, this balancer and hosts. */
 const struct path_check *steering_path(const struct steering *steering);
 /** True while several hosts are silent and no host responds. */
 bool steering_is_isolated(const struct steering *steering);
