--- a/tests/steering/test_service_change.c
+++ b/tests/steering/test_service_change.c
@@ -66,15 +66,15 @@
  */
 START_TEST(deferred_announcement_holds_until_a_newer_change) {
 	static const struct {
-		enum interlude interlude;
 		const char *service;
+		enum interlude interlude;
 		bool is_removed;
 	} cases[] = {
-		{ OWN_ANNOUNCEMENT, "examen", false },
-		{ LATE_REMOVAL, "archive", false },
-		{ REMOVAL, "examen", true },
-		{ OTHER_ROUTES, "archive", false },
-		{ LATE_ANNOUNCEMENT, "archive", false },
+		{ "examen", OWN_ANNOUNCEMENT, false },
+		{ "archive", LATE_REMOVAL, false },
+		{ "examen", REMOVAL, true },
+		{ "archive", OTHER_ROUTES, false },
+		{ "archive", LATE_ANNOUNCEMENT, false },
 	};
 	struct host_table *table = steering_hosts(fixture.steering);
 	struct known_host *host = fixture_host(&fixture, 1);
