Ask for an open path before later flows of a host that is down end

Flows that come to a balancer after it has found their host to be down end at their first or second retransmission until the host makes progress.

The same check as for drained hosts applies: something that was sent within the last 600 ms must have been answered within 200 ms, else another host is probed.

flows_end_after_retransmissions_while_the_host_is_down has two cases with another host that answers after 250 ms: no reset. They fail without the check.

--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -173,10 +173,13 @@
 	       llabs((int64_t)distance) > FLOW_WINDOW_BYTES;
 }
 
-/*
- * A drained host may serve its flows for seconds after its removal. That it does
- * not respond shows that it has ended only if the path to other hosts is open.
- */
+/* That a host does not respond shows nothing while no other host does. */
+static bool is_path_open(struct steering *steering, int64_t now_ns)
+{
+	return probe_check_path(steering, now_ns - HEALTH_SILENCE_NS);
+}
+
+/* A drained host may serve its flows for seconds after its removal. */
 static bool is_host_gone(struct steering *steering,
 			 const struct cached_flow *flow, int64_t now_ns)
 {
@@ -186,12 +189,11 @@
 		return false;
 	if (!host->published.is_draining)
 		return flow->retransmissions >= 1;
-	return flow->retransmissions >= 2 &&
-	       probe_check_path(steering, now_ns - HEALTH_SILENCE_NS);
+	return flow->retransmissions >= 2 && is_path_open(steering, now_ns);
 }
 
-static bool is_host_down(const struct steering *steering,
-			 const struct cached_flow *flow)
+static bool is_host_down(struct steering *steering,
+			 const struct cached_flow *flow, int64_t now_ns)
 {
 	const struct host_health *health = &flow->host->health;
 	/* If a probe was accepted since, the host may be back. */
@@ -199,7 +201,8 @@
 
 	return health->is_down &&
 	       flow->retransmissions >= retransmissions_min &&
-	       !steering_is_isolated(steering);
+	       !steering_is_isolated(steering) &&
+	       is_path_open(steering, now_ns);
 }
 
 static void open_flow_reset(struct steering *steering, struct cached_flow *flow,
@@ -243,6 +246,6 @@
 	if (is_host_gone(steering, flow, now_ns))
 		open_flow_reset(steering, flow, STEERING_HOST_REMOVED,
 				decision);
-	else if (is_host_down(steering, flow))
+	else if (is_host_down(steering, flow, now_ns))
 		open_flow_reset(steering, flow, STEERING_HOST_SILENT, decision);
 }
--- a/tests/steering/test_host_probes.c
+++ b/tests/steering/test_host_probes.c
@@ -21,16 +21,20 @@
 }
 
 /* Another host answers each request after @wait_ms. */
-static void requests_exchange(struct known_host *other, uint32_t wait_ms)
+static void request_exchange(const struct known_host *other, uint32_t wait_ms)
 {
 	static uint32_t sequence = 1000;
 
-	for (uint32_t ms = 0; ms < 900; ms += wait_ms) {
-		packet_data(&fixture, 7, other->token, sequence, sequence);
-		fixture_advance(&fixture, wait_ms);
-		sequence += 1000;
-		packet_ack(&fixture, 7, other->token, sequence, sequence);
-	}
+	packet_data(&fixture, 7, other->token, sequence, sequence);
+	fixture_advance(&fixture, wait_ms);
+	sequence += 1000;
+	packet_ack(&fixture, 7, other->token, sequence, sequence);
+}
+
+static void requests_exchange(const struct known_host *other, uint32_t wait_ms)
+{
+	for (uint32_t ms = 0; ms < 900; ms += wait_ms)
+		request_exchange(other, wait_ms);
 }
 
 /* What other hosts show while a host does not answer. */
@@ -103,15 +107,20 @@
 	static const struct {
 		bool is_accepting; /* the probe after it was found to be down */
 		bool is_responding;
+		uint32_t others_wait_ms; /* until another host answers */
 		uint32_t retransmissions; /* until the reset; 9 for none */
 	} cases[] = {
-		{ false, false, 1 },
+		{ false, false, 50, 1 },
 		/* Perhaps another host has its address. */
-		{ true, false, 2 },
-		{ true, true, 9 },
+		{ true, false, 50, 2 },
+		{ true, true, 50, 9 },
+		/* The balancer's own link is congested. */
+		{ false, false, 250, 9 },
+		{ true, false, 250, 9 },
 	};
 	const struct others others = { .wait_ms = 20 };
 	struct known_host *host = fixture_host(&fixture, 1);
+	const struct known_host *other = fixture_host(&fixture, 2);
 	enum steering_verdict verdict = STEERING_FORWARD;
 	uint32_t copies = 0;
 
@@ -125,9 +134,11 @@
 		packet_data(&fixture, 99, host->token, 700, 2000);
 	if (cases[_i].is_responding)
 		packet_ack(&fixture, 99, host->token, 800, 2001);
+	fixture_advance(&fixture, 700);
 	packet_data(&fixture, 1, host->token, 500, 1000);
 	while (verdict == STEERING_FORWARD && copies < 9) {
-		fixture_advance(&fixture, 200);
+		request_exchange(other, cases[_i].others_wait_ms);
+		fixture_advance(&fixture, 250 - cases[_i].others_wait_ms);
 		verdict =
 			packet_data(&fixture, 1, host->token, 500, 1000).verdict;
 		copies++;
@@ -283,7 +294,7 @@
 			    7);
 	tcase_add_loop_test(
 		cases, flows_end_after_retransmissions_while_the_host_is_down,
-		0, 3);
+		0, 5);
 	tcase_add_loop_test(
 		cases, reassigned_address_shows_that_the_host_has_ended, 0, 4);
 	tcase_add_test(cases, silent_host_that_ends_is_found_by_probes);
