End idle flows after four lost probes, not after two

Two in a row reset all open flows of a host, although none of its callers waits. That this was the cause is suspected, not shown.

Two timeouts still end open flows if a caller retransmits. Otherwise they only keep new flows away, probes go on every 300 ms, and four in a row end the flows.

idle_host_is_down_after_more_timeouts fails with two. In probe_results_cause_expected_resets the callers retransmit before each result, as callers that wait do.

--- a/include/steering/host_health.h
+++ b/include/steering/host_health.h
@@ -97,8 +97,8 @@
 };
 
 /**
- * Records the result of a probe; true if it shows that the host is down, which
- * also ejects it. A host that accepts a connection is up, but may still not
+ * Records the result of a probe, which may eject the host; true if it shows that
+ * the host is down. A host that accepts a connection is up, but may still not
  * respond on its flows. Timeouts count only if @is_path_open: otherwise the
  * network around this balancer may be the cause.
  */
--- a/steering/host_health.c
+++ b/steering/host_health.c
@@ -25,6 +25,11 @@
 #define PROBE_INTERVAL_MS 1000
 #define PROBE_RETRY_MS 300
 #define PROBE_TIMEOUTS_MIN 2
+/*
+ * While no caller waits, more of them are needed to end open flows: links lose
+ * two probes in a row now and then.
+ */
+#define PROBE_TIMEOUTS_IDLE_MIN 4
 
 /* Moving average of the intervals, each capped, as hosts may be idle. */
 static int64_t interval_average(const struct host_health *health,
@@ -116,7 +121,8 @@
 		return false;
 	/* Until it is known to be down, callers wait for a silent host. */
 	if (health_is_silent(health))
-		return !health->is_down && has_waiting_callers(health, now_ns);
+		return !health->is_down &&
+		       (is_retry || has_waiting_callers(health, now_ns));
 	return is_retry || health_is_suspect(health) ||
 	       is_quiet(health, now_ns);
 }
@@ -138,15 +144,10 @@
 }
 
 /* One timeout proves nothing: a lost packet looks like an unreachable host. */
-static bool is_confirmed_down(const struct host_health *health,
-			      enum probe_result result, bool is_path_open,
-			      int64_t now_ns)
+static bool is_unreachable(const struct host_health *health,
+			   enum probe_result result, bool is_path_open,
+			   int64_t now_ns)
 {
-	/* A response to a caller after the start of the probe outweighs it. */
-	if (health->progress_ns > health->probed_ns)
-		return false;
-	if (result == PROBE_RESULT_DOWN)
-		return true;
 	return result == PROBE_RESULT_TIMEOUT && is_path_open &&
 	       health->probe_timeouts >= PROBE_TIMEOUTS_MIN &&
 	       now_ns - health->progress_ns >= HEALTH_SILENCE_NS;
@@ -191,12 +192,17 @@
 	if (health_is_silent(health) && result != PROBE_RESULT_UP &&
 	    now_ns >= health->trial_ns)
 		health_begin_trial(health, now_ns);
-	if (health->is_down ||
-	    !is_confirmed_down(health, result, is_path_open, now_ns))
+	/* A response to a caller after the start of the probe outweighs it. */
+	if (health->is_down || health->progress_ns > health->probed_ns)
+		return false;
+	if (result != PROBE_RESULT_DOWN &&
+	    !is_unreachable(health, result, is_path_open, now_ns))
 		return false;
-	health->is_down = true;
 	health_eject(health, now_ns);
-	return true;
+	health->is_down = result == PROBE_RESULT_DOWN ||
+			  has_waiting_callers(health, now_ns) ||
+			  health->probe_timeouts >= PROBE_TIMEOUTS_IDLE_MIN;
+	return health->is_down;
 }
 
 /*
--- a/steering/host_probes.c
+++ b/steering/host_probes.c
@@ -140,6 +140,7 @@
 	struct host_health *health;
 	bool is_path_open = false;
 	bool was_silent;
+	bool is_down;
 
 	if (!host)
 		return;
@@ -152,9 +153,9 @@
 		is_path_open =
 			probe_check_path(steering, unanswered_since_ns(health));
 	result = result_interpret(steering, host, result);
-	if (!health_probe_end(health, result, is_path_open, now_ns))
-		return;
-	if (!was_silent)
+	is_down = health_probe_end(health, result, is_path_open, now_ns);
+	if (!was_silent && health_is_silent(health))
 		ejection_report(steering, host);
-	host_handle_down(steering, host, result);
+	if (is_down)
+		host_handle_down(steering, host, result);
 }
