--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -846,7 +846,7 @@
         held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
         record.line("the rule held" if held else "the rule was broken")
         status = 0 if held else 1
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the stand-ins breaks no rule
         record.line(f"the case could not run: {error!r}")
         status = 2
     record.close()
