--- a/configuration/json_duplicates.c
+++ b/configuration/json_duplicates.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "configuration/json_text.h"
+#include "configuration/json_token.h"
 
 /* Bytes of a member name that are shown in a place. */
 #define NAME_SHOWN_BYTES 64
@@ -76,16 +77,13 @@
 
 static void string_scan(struct scan *scan)
 {
-	const char *start = ++scan->position;
+	const char *start = scan->position + 1;
+	const char *end = json_string_end(scan->position, scan->end);
 
-	while (scan->position < scan->end && *scan->position != '"')
-		scan->position += *scan->position == '\\' ? 2 : 1;
-	if (scan->position >= scan->end)
-		return;
-	if (scan->depth > 0 && scan->levels[scan->depth - 1].expects_name)
-		name_add(scan,
-			 name_decode(start, (size_t)(scan->position - start)));
-	scan->position++;
+	scan->position = end ? end : scan->end;
+	if (end && scan->depth > 0 &&
+	    scan->levels[scan->depth - 1].expects_name)
+		name_add(scan, name_decode(start, (size_t)(end - 1 - start)));
 }
 
 static void level_open(struct scan *scan, bool is_object)
--- a/configuration/json_text.c
+++ b/configuration/json_text.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "configuration/json_token.h"
+
 struct scan {
 	const char *position;
 	const char *end;
@@ -60,19 +62,12 @@
 
 static bool scan_literal(struct scan *scan)
 {
-	static const char *const literals[] = { "true", "false", "null" };
-	size_t remaining = (size_t)(scan->end - scan->position);
-
-	for (size_t i = 0; i < G_N_ELEMENTS(literals); i++) {
-		size_t length = strlen(literals[i]);
+	const char *end = json_literal_end(scan->position, scan->end);
 
-		if (remaining < length ||
-		    memcmp(scan->position, literals[i], length) != 0)
-			continue;
-		scan->position += length;
-		return true;
-	}
-	return scan_fail(scan, "unexpected character");
+	if (!end)
+		return scan_fail(scan, "unexpected character");
+	scan->position = end;
+	return true;
 }
 
 static bool scan_bracket(struct scan *scan)
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -62,7 +62,7 @@
 		g_object_unref(request->stream);
 	g_object_unref(request->message);
 	g_object_unref(request->cancellable);
-	g_byte_array_unref(request->body);
+	g_clear_pointer(&request->body, g_byte_array_unref);
 	g_free(request);
 }
 
@@ -84,8 +84,8 @@
 	if (response.outcome != HTTP_TIMEOUT)
 		response.status = soup_message_get_status(message);
 	if (response.outcome == HTTP_OK)
-		response.body =
-			g_bytes_new(request->body->data, request->body->len);
+		response.body = g_byte_array_free_to_bytes(
+			g_steal_pointer(&request->body));
 	request->get.on_response(request->get.context, &response);
 	if (response.body)
 		g_bytes_unref(response.body);
