Let only entries of routed services affect hosts

Cause: a probe that is accepted counts as refused if an entry with the same address was published and started later, as addresses are assigned again. Any entry counted there, also one whose service no route leads to.

An entry now counts as a host while a route leads to its service, which is decided again with each version of the routes, so the reuse of an address is still noticed, also when the routes come after the entry. The same rule now holds where such entries touched hosts otherwise: tokens, control probes, the zones that divide slow-start limits, isolation, loads and speeds. An entry that cannot be read no longer removes the host of its id in a listing, as it did not in a watch. An entry that is removed is freed at once; 20,000 of them took a host each for 60 s, and the names of their services stayed for good.

A reinterpreted probe is logged with both entries (address_reassigned), entries that are ignored are limited as lines about hosts are, and the gauge hosts_unrouted counts entries without a route.

The store stand-in and the numbers of test_items.c write all fields of an entry now, so that a case is rejected for its number only.

--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -43,7 +43,9 @@
 	struct host_announcement *deferred;
 	uint32_t token; /* carried by the packets of its flows, never 0 */
 	bool is_removed; /* no longer published */
-	bool has_token_conflict; /* another host has the token: no new flows */
+	bool shares_token; /* another entry has it, routed or not */
+	/* Another host of a routed service has the token: no new flows. */
+	bool has_token_conflict;
 	bool is_zone_drained; /* its zone is drained: no new flows */
 	int64_t removed_since_ns;
 	int64_t slow_start_until_ns; /* end of the slow start */
@@ -58,7 +60,8 @@
 	bool is_failing; /* fails fast, see steering/response_size.h */
 	struct response_size *sizes; /* NULL before the first response */
 	GQueue flows; /* struct cached_flow of this balancer */
-	GPtrArray *service_hosts; /* all hosts of the service */
+	/* All hosts of the service; NULL while no route leads to it. */
+	GPtrArray *service_hosts;
 };
 
 struct host_table;
@@ -72,6 +75,11 @@
 	 */
 	bool (*can_change_service)(void *context, const char *from,
 				   const char *to);
+	/**
+	 * False if routes are known and none leads to the service; NULL if all
+	 * services have routes.
+	 */
+	bool (*is_service_routed)(void *context, const char *service);
 	/** True if the zone is drained; NULL if no zone ever is. */
 	bool (*is_zone_drained)(void *context, const char *zone);
 	/** An announcement of @host was deferred. */
@@ -124,6 +132,11 @@
 void host_listing_put(struct host_listing *listing, struct host_table *table,
 		      const struct host_announcement *announcement,
 		      int64_t now_ns);
+/**
+ * The entry of the host cannot be read, so the host is as it was: accepts NULL
+ * for @listing.
+ */
+void host_listing_keep(struct host_listing *listing, const char *id);
 /**
  * The listing is complete: removes the hosts that it did not contain, unless
  * they were published after its revision.
@@ -140,7 +153,25 @@
  */
 struct known_host *host_table_find_token(struct host_table *table,
 					 uint32_t token);
-/** Hosts of a service as struct known_host, including removed ones; or NULL. */
+/**
+ * False for an entry to whose service no route leads. Another program may have
+ * written it, so it must not affect any host: it is neither probed nor chosen,
+ * and neither its address nor its token counts. It is kept, as a route may
+ * follow.
+ */
+static inline bool host_is_routed(const struct known_host *host)
+{
+	return host->service_hosts != NULL;
+}
+
+/** The routes have changed. */
+void host_table_update_routes(struct host_table *table);
+/** Number of published entries that are not routed. */
+uint32_t host_table_unrouted_count(const struct host_table *table);
+/**
+ * Hosts of a service as struct known_host, including removed ones; NULL for
+ * none, or if no route leads to the service.
+ */
 const GPtrArray *host_table_service(const struct host_table *table,
 				    const char *service);
 /**
@@ -170,7 +201,7 @@
 				 bool is_drained);
 /** Open flows of this balancer at the hosts of the zone. */
 uint32_t host_table_zone_flows(struct host_table *table, const char *zone);
-/** All services: name to GPtrArray of struct known_host. */
+/** The routed services: name to GPtrArray of struct known_host. */
 GHashTable *host_table_services(struct host_table *table);
 /** Token of a host id; the same on each balancer. */
 uint32_t host_token(const char *id);
--- a/include/steering/routing.h
+++ b/include/steering/routing.h
@@ -8,6 +8,7 @@
  * reference.
  */
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -54,6 +55,7 @@
 	uint32_t idle_timeout_ms; /* after which a flow may be forgotten */
 	struct route_rule *rules; /* sorted by address and port */
 	size_t rule_count;
+	GHashTable *services; /* that the rules lead to, as a set */
 	struct service_limit *limits; /* sorted by service */
 	size_t limit_count;
 	/*
--- a/include/steering/steering.h
+++ b/include/steering/steering.h
@@ -136,6 +136,13 @@
 	/** Probes show that a host is down, so open flows to it end. */
 	void (*on_host_down)(void *context, const struct known_host *host,
 			     enum probe_result result);
+	/**
+	 * A probe of @host was accepted, but the address was assigned to
+	 * @successor since: it counts as refused.
+	 */
+	void (*on_address_reassigned)(void *context,
+				      const struct known_host *host,
+				      const struct known_host *successor);
 	/** The is_slow mark of a host's health changed. */
 	void (*on_host_slowness_changed)(void *context,
 					 const struct known_host *host);
--- a/parsleyladder/balancer.c
+++ b/parsleyladder/balancer.c
@@ -229,6 +229,7 @@
 		.on_host_ended = host_log_ended,
 		.on_host_silence_changed = host_log_silence_changed,
 		.on_host_down = host_log_down,
+		.on_address_reassigned = host_log_reassigned,
 		.on_host_slowness_changed = host_log_slowness_changed,
 		.on_zone_drain_changed = balancer_drain_changed,
 		.on_spillover_changed = spillover_log_changed,
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -9,6 +9,7 @@
 static const char *const gauge_names[BALANCER_GAUGES] = {
 	[GAUGE_FLOWS] = "flows",
 	[GAUGE_HOSTS] = "hosts",
+	[GAUGE_HOSTS_UNROUTED] = "hosts_unrouted",
 	[GAUGE_READY] = "ready",
 	[GAUGE_STORE_READER] = "reading",
 	[GAUGE_ROUTES_VERSION] = "routes_version",
@@ -67,6 +68,8 @@
 	gauges[GAUGE_FLOWS] = steering_flow_count(balancer->steering);
 	gauges[GAUGE_HOSTS] =
 		host_table_count(steering_hosts(balancer->steering));
+	gauges[GAUGE_HOSTS_UNROUTED] =
+		host_table_unrouted_count(steering_hosts(balancer->steering));
 	gauges[GAUGE_READY] = balancer->is_ready;
 	gauges[GAUGE_STORE_READER] = sharing_is_store_reader(balancer->sharing);
 	gauges[GAUGE_ROUTES_VERSION] = balancer_routes_version(balancer);
--- a/parsleyladder/balancer_drains.c
+++ b/parsleyladder/balancer_drains.c
@@ -10,7 +10,7 @@
 {
 	zone_drains_ignore(steering_zone_drains(balancer->steering),
 			   item->zone);
-	entry_log_ignored(item, reason);
+	entry_log_ignored(balancer, item, reason);
 }
 
 void balancer_drain_apply(struct balancer *balancer,
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -21,6 +21,8 @@
 	[EVENT_HOST_CHANGED] = "host_changed",
 	[EVENT_HOST_RESTARTED] = "host_restarted",
 	[EVENT_HOST_REMOVED] = "host_gone",
+	[EVENT_ENTRY_IGNORED] = "entry_ignored",
+	[EVENT_ADDRESS_REASSIGNED] = "address_reassigned",
 	[EVENT_SPILLOVER_CHANGED] = "spillover_changed",
 	[EVENT_HOST_SPEED_CHANGED] = "host_speed_changed",
 	[EVENT_HOST_FAILING] = "host_failing",
@@ -176,21 +178,23 @@
 }
 
 static void host_log_published(struct balancer *balancer,
-			       const struct host_announcement *published,
+			       const struct known_host *host,
 			       enum rate_limited_event event)
 {
+	const struct host_announcement *published = &host->published;
 	char address[IP_ADDRESS_TEXT_BYTES];
 
 	log_event(LOG_LEVEL_INFO, event_names[event],
 		  "host=%s service=%s zone=%s address=%s:%u slots=%u state=%s "
 		  "slow_start_ms=%u born=%" PRIu64 " host_revision=%" PRIu64
-		  " source=%s",
+		  " source=%s routed=%d",
 		  published->id, published->service, published->zone,
 		  ip_address_print(&published->address, address),
 		  published->port, published->slots,
 		  published->is_draining ? "draining" : "ready",
 		  published->slow_start_ms, published->started_ms,
-		  published->revision, balancer->replica_status.source);
+		  published->revision, balancer->replica_status.source,
+		  host_is_routed(host));
 }
 
 void host_log_changed(void *context, const struct known_host *host, bool is_new)
@@ -200,7 +204,7 @@
 					       : EVENT_HOST_CHANGED;
 
 	if (log_line_is_allowed(balancer, event))
-		host_log_published(balancer, &host->published, event);
+		host_log_published(balancer, host, event);
 	if (host->has_token_conflict)
 		log_event(
 			LOG_LEVEL_ERROR, "token_shared",
@@ -225,11 +229,15 @@
 	g_free(service);
 }
 
-void entry_log_ignored(const struct store_item *item, const char *reason)
+void entry_log_ignored(struct balancer *balancer, const struct store_item *item,
+		       const char *reason)
 {
-	char *key = g_strescape(item->key, NULL);
+	char *key;
 
-	log_event(LOG_LEVEL_WARNING, "entry_ignored",
+	if (!log_line_is_allowed(balancer, EVENT_ENTRY_IGNORED))
+		return;
+	key = g_strescape(item->key, NULL);
+	log_event(LOG_LEVEL_WARNING, event_names[EVENT_ENTRY_IGNORED],
 		  "key=\"%s\" revision=%" PRIu64 " reason=\"%s\"", key,
 		  item->revision, reason);
 	g_free(key);
@@ -267,6 +275,28 @@
 		  steering_is_isolated(balancer->steering));
 }
 
+void host_log_reassigned(void *context, const struct known_host *host,
+			 const struct known_host *successor)
+{
+	const struct host_announcement *published = &successor->published;
+	struct balancer *balancer = context;
+	char address[IP_ADDRESS_TEXT_BYTES];
+
+	if (!log_line_is_allowed(balancer, EVENT_ADDRESS_REASSIGNED))
+		return;
+	log_event(LOG_LEVEL_WARNING, event_names[EVENT_ADDRESS_REASSIGNED],
+		  "host=%s address=%s:%u flows=%u born=%" PRIu64
+		  " host_revision=%" PRIu64 " successor=%s "
+		  "successor_service=%s successor_born=%" PRIu64
+		  " successor_revision=%" PRIu64 " progress_age_ms=%" PRId64,
+		  host->published.id,
+		  ip_address_print(&published->address, address),
+		  published->port, host->open_flows, host->published.started_ms,
+		  host->published.revision, published->id, published->service,
+		  published->started_ms, published->revision,
+		  balancer_age_ms(balancer, host->health.progress_ns));
+}
+
 void host_log_down(void *context, const struct known_host *host,
 		   enum probe_result result)
 {
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -37,6 +37,8 @@
 	EVENT_HOST_CHANGED,
 	EVENT_HOST_RESTARTED,
 	EVENT_HOST_REMOVED,
+	EVENT_ENTRY_IGNORED,
+	EVENT_ADDRESS_REASSIGNED,
 	EVENT_SPILLOVER_CHANGED,
 	EVENT_HOST_SPEED_CHANGED,
 	EVENT_HOST_FAILING,
@@ -56,6 +58,7 @@
 enum balancer_gauge {
 	GAUGE_FLOWS,
 	GAUGE_HOSTS,
+	GAUGE_HOSTS_UNROUTED, /* of these, no route leads to the service */
 	GAUGE_READY,
 	GAUGE_STORE_READER,
 	GAUGE_ROUTES_VERSION,
@@ -159,12 +162,15 @@
 /** Logs that an announcement of a known host was ignored. */
 void host_log_deferred(void *context, const struct known_host *host);
 /** Logs that an entry of the store is not used. */
-void entry_log_ignored(const struct store_item *item, const char *reason);
+void entry_log_ignored(struct balancer *balancer, const struct store_item *item,
+		       const char *reason);
 /** Logs that a host was removed or restarted. */
 void host_log_ended(void *context, const struct known_host *host,
 		    bool is_restarted);
 void host_log_silence_changed(void *context, const struct known_host *host,
 			      bool is_silent);
+void host_log_reassigned(void *context, const struct known_host *host,
+			 const struct known_host *successor);
 void host_log_down(void *context, const struct known_host *host,
 		   enum probe_result result);
 void host_log_slowness_changed(void *context, const struct known_host *host);
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -79,6 +79,14 @@
 		  routing->limit_count, routing->is_partial);
 }
 
+/* A host of this id stays as it was, also if this is a listing. */
+static void entry_ignore(struct balancer *balancer,
+			 const struct store_item *item)
+{
+	host_listing_keep(balancer->store_listing, item->host.id);
+	entry_log_ignored(balancer, item, item->problem);
+}
+
 static void store_item_apply(void *context, const struct store_item *item)
 {
 	struct balancer *balancer = context;
@@ -101,7 +109,7 @@
 		if (item->zone[0] != '\0')
 			balancer_drain_apply(balancer, item);
 		else if (item->problem)
-			entry_log_ignored(item, item->problem);
+			entry_ignore(balancer, item);
 		break;
 	case STORE_ITEM_ZONE_DRAIN:
 	case STORE_ITEM_ZONE_DRAIN_REMOVED:
--- a/steering/host_changes.c
+++ b/steering/host_changes.c
@@ -3,19 +3,6 @@
 #include "common/clock.h"
 #include "host_table_state.h"
 
-static void service_add_host(struct host_table *table, struct known_host *host)
-{
-	const char *name = host->published.service;
-
-	host->service_hosts = g_hash_table_lookup(table->by_service, name);
-	if (!host->service_hosts) {
-		host->service_hosts = g_ptr_array_new();
-		g_hash_table_insert(table->by_service, g_strdup(name),
-				    host->service_hosts);
-	}
-	g_ptr_array_add(host->service_hosts, host);
-}
-
 static struct known_host *host_add(struct host_table *table, const char *id)
 {
 	struct known_host *host = g_new0(struct known_host, 1);
@@ -25,8 +12,8 @@
 	host->token = host_token(id);
 	other = host_table_find_token(table, host->token);
 	if (other) {
-		host->has_token_conflict = true;
-		other->has_token_conflict = true;
+		host->shares_token = true;
+		other->shares_token = true;
 	} else {
 		g_hash_table_insert(table->by_token,
 				    GUINT_TO_POINTER(host->token), host);
@@ -126,6 +113,7 @@
 {
 	struct known_host *host = host_table_find(table, announcement->id);
 	bool is_new = !host || host->is_removed;
+	bool is_announced;
 	bool is_changed;
 
 	if (is_outdated(table, host, announcement))
@@ -141,20 +129,17 @@
 		MAX(table->newest_revision, announcement->revision);
 	if (!is_new && announcement->revision == host->published.revision)
 		return;
+	is_announced = host->published.service[0] != '\0';
 	is_changed = !announcement_is_equal(&host->published, announcement);
-	if (host->service_hosts &&
+	if (is_announced &&
 	    announcement->started_ms != host->published.started_ms)
 		host_restart(table, host);
-	if (host->service_hosts &&
-	    strcmp(host->published.service, announcement->service) != 0) {
-		g_ptr_array_remove_fast(host->service_hosts, host);
-		host->service_hosts = NULL;
-	}
+	if (strcmp(host->published.service, announcement->service) != 0)
+		host_service_leave(table, host);
 	announcement_apply(table, host, announcement, now_ns);
-	if (host->has_token_conflict)
+	host_service_update(table, host);
+	if (host->shares_token)
 		token_owner_update(table, host->token);
-	if (!host->service_hosts)
-		service_add_host(table, host);
 	if (is_new)
 		table->published_count++;
 	host->is_removed = false;
--- a/steering/host_ejection.c
+++ b/steering/host_ejection.c
@@ -57,7 +57,8 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		const struct known_host *host = value;
 
-		silent += health_is_silent(&host->health);
+		silent += host_is_routed(host) &&
+			  health_is_silent(&host->health);
 	}
 	return silent >= ISOLATION_HOSTS_MIN;
 }
--- a/steering/host_listing.c
+++ b/steering/host_listing.c
@@ -28,6 +28,12 @@
 	return listing->revision;
 }
 
+void host_listing_keep(struct host_listing *listing, const char *id)
+{
+	if (listing)
+		g_hash_table_add(listing->ids, g_strdup(id));
+}
+
 void host_listing_put(struct host_listing *listing, struct host_table *table,
 		      const struct host_announcement *announcement,
 		      int64_t now_ns)
@@ -36,7 +42,7 @@
 		host_table_put(table, announcement, now_ns);
 		return;
 	}
-	g_hash_table_add(listing->ids, g_strdup(announcement->id));
+	host_listing_keep(listing, announcement->id);
 	/* A newer listing may contain a host that an earlier one missed. */
 	if (listing->revision >= table->listed_revision ||
 	    !is_announcement_outdated(table, announcement))
--- a/steering/host_probes.c
+++ b/steering/host_probes.c
@@ -10,7 +10,7 @@
 		      const struct known_host *host)
 {
 	return steering->options.probe && !host->is_removed &&
-	       !host->published.is_draining &&
+	       host_is_routed(host) && !host->published.is_draining &&
 	       (!host->is_zone_drained || host->open_flows > 0);
 }
 
@@ -85,26 +85,34 @@
 	return false;
 }
 
-/* After a host has ended, its address may be assigned to another one. */
-static bool is_address_reassigned(const struct steering *steering,
-				  const struct known_host *host)
+/* True if the address of a host that has ended was assigned to @other. */
+static bool has_taken_address(const struct known_host *other,
+			      const struct known_host *host)
 {
 	const struct host_announcement *own = &host->published;
+	const struct host_announcement *published = &other->published;
+
+	return !other->is_removed && host_is_routed(other) &&
+	       published->port == own->port &&
+	       ip_address_equal(&published->address, &own->address) &&
+	       published->started_ms > own->started_ms &&
+	       published->revision > own->revision;
+}
+
+/* Returns NULL if the host still has its address. */
+static const struct known_host *
+address_successor_find(const struct steering *steering,
+		       const struct known_host *host)
+{
 	GHashTableIter iterator;
 	gpointer value;
 
 	g_hash_table_iter_init(&iterator, host_table_all(steering->hosts));
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		const struct known_host *other = value;
-
-		if (!other->is_removed && other->published.port == own->port &&
-		    ip_address_equal(&other->published.address,
-				     &own->address) &&
-		    other->published.started_ms > own->started_ms &&
-		    other->published.revision > own->revision)
-			return true;
+		if (has_taken_address(value, host))
+			return value;
 	}
-	return false;
+	return NULL;
 }
 
 static void host_handle_down(struct steering *steering, struct known_host *host,
@@ -121,12 +129,16 @@
 					  const struct known_host *host,
 					  enum probe_result result)
 {
-	bool is_connected = result == PROBE_RESULT_UP ||
-			    result == PROBE_RESULT_FULL;
-
-	return is_connected && is_address_reassigned(steering, host)
-		       ? PROBE_RESULT_DOWN
-		       : result;
+	const struct known_host *successor;
+
+	if (result != PROBE_RESULT_UP && result != PROBE_RESULT_FULL)
+		return result;
+	successor = address_successor_find(steering, host);
+	if (!successor)
+		return result;
+	steering->options.on_address_reassigned(steering->options.context, host,
+						successor);
+	return PROBE_RESULT_DOWN;
 }
 
 /* Start of the first probe since the host last answered one. */
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -49,8 +49,24 @@
 
 static bool host_is_expired(const struct known_host *host, int64_t before_ns)
 {
-	return host->is_removed && host->removed_since_ns <= before_ns &&
-	       host->flows.length == 0;
+	if (!host->is_removed || host->flows.length > 0)
+		return false;
+	return !host_is_routed(host) || host->removed_since_ns <= before_ns;
+}
+
+/*
+ * Members may still ask for the removal. That of an entry that is not routed is
+ * kept apart, so that a program that writes many of them takes little memory.
+ */
+static void removal_keep(struct host_table *table,
+			 const struct known_host *host)
+{
+	if (host_is_routed(host))
+		table->oldest_revision =
+			MAX(table->oldest_revision, host->removed_revision);
+	else
+		removal_log_add(table->removals, host->published.id,
+				host->removed_revision, host->removed_since_ns);
 }
 
 void host_table_expire(struct host_table *table, int64_t before_ns)
@@ -69,12 +85,11 @@
 		if (host_table_find_token(table, host->token) == host)
 			g_hash_table_remove(table->by_token,
 					    GUINT_TO_POINTER(host->token));
-		if (host->has_token_conflict)
+		if (host->shares_token)
 			g_array_append_val(shared_tokens, host->token);
-		g_ptr_array_remove_fast(host->service_hosts, host);
+		removal_keep(table, host);
+		host_service_leave(table, host);
 		g_tree_remove(table->sorted, host->published.id);
-		table->oldest_revision =
-			MAX(table->oldest_revision, host->removed_revision);
 		table->generation++;
 		g_hash_table_iter_remove(&iterator);
 	}
--- a/steering/host_table_state.h
+++ b/steering/host_table_state.h
@@ -4,8 +4,9 @@
 /**
  * State of the host table, and its layers: host_listing.c applies complete
  * listings and calls host_changes.c, which applies single changes and calls
- * host_tokens.c. host_zones.c marks the hosts of a zone. host_table.c holds the
- * table and its queries.
+ * host_services.c and host_tokens.c. host_services.c tells the hosts of routed
+ * services from other entries, and calls host_tokens.c. host_zones.c marks the
+ * hosts of a zone. host_table.c holds the table and its queries.
  */
 
 #include <glib.h>
@@ -17,7 +18,7 @@
 	struct host_table_options options;
 	GHashTable *by_id; /* owns the hosts */
 	GHashTable *by_token;
-	GHashTable *by_service; /* name to GPtrArray of hosts */
+	GHashTable *by_service; /* name to GPtrArray of routed hosts */
 	GTree *sorted; /* by id */
 	struct removal_log *removals; /* of hosts that were never known */
 	uint64_t oldest_revision; /* see host_table_oldest_revision() */
@@ -41,6 +42,14 @@
 bool is_announcement_outdated(const struct host_table *table,
 			      const struct host_announcement *announcement);
 
+/* Services: host_services.c. */
+/**
+ * Adds the host to its service if a route leads to it, and takes it out
+ * otherwise. True if that is a change.
+ */
+bool host_service_update(struct host_table *table, struct known_host *host);
+void host_service_leave(struct host_table *table, struct known_host *host);
+
 /* Tokens: host_tokens.c. */
 /** Finds the host that a shared token belongs to. */
 void token_owner_update(struct host_table *table, uint32_t token);
--- a/steering/host_tokens.c
+++ b/steering/host_tokens.c
@@ -17,6 +17,42 @@
 	return strcmp(a->published.id, b->published.id) < 0;
 }
 
+/* An entry that is not routed has no flows. */
+static bool is_likelier_owner(const struct known_host *a,
+			      const struct known_host *b)
+{
+	if (host_is_routed(a) != host_is_routed(b))
+		return host_is_routed(a);
+	return is_older(a, b);
+}
+
+static GPtrArray *token_hosts_find(const struct host_table *table,
+				   uint32_t token)
+{
+	GPtrArray *hosts = g_ptr_array_new();
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, table->by_id);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct known_host *host = value;
+
+		if (host->token == token)
+			g_ptr_array_add(hosts, value);
+	}
+	return hosts;
+}
+
+static void conflicts_mark(const GPtrArray *hosts, bool is_conflict)
+{
+	for (guint i = 0; i < hosts->len; i++) {
+		struct known_host *host = g_ptr_array_index(hosts, i);
+
+		host->shares_token = hosts->len > 1;
+		host->has_token_conflict = is_conflict && host_is_routed(host);
+	}
+}
+
 /*
  * Of several hosts with one token, the oldest one has its open flows: the others
  * never got any. Each balancer has to find the same one, in whatever order it
@@ -24,23 +60,20 @@
  */
 void token_owner_update(struct host_table *table, uint32_t token)
 {
-	struct known_host *oldest = NULL;
-	GHashTableIter iterator;
-	bool is_shared = false;
-	gpointer value;
+	GPtrArray *hosts = token_hosts_find(table, token);
+	struct known_host *owner = NULL;
+	uint32_t routed = 0;
 
-	g_hash_table_iter_init(&iterator, table->by_id);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		struct known_host *host = value;
+	for (guint i = 0; i < hosts->len; i++) {
+		struct known_host *host = g_ptr_array_index(hosts, i);
 
-		if (host->token != token)
-			continue;
-		is_shared = oldest != NULL;
-		if (!oldest || is_older(host, oldest))
-			oldest = host;
+		routed += host_is_routed(host);
+		if (!owner || is_likelier_owner(host, owner))
+			owner = host;
 	}
-	if (!oldest)
-		return;
-	oldest->has_token_conflict = is_shared;
-	g_hash_table_insert(table->by_token, GUINT_TO_POINTER(token), oldest);
+	if (owner)
+		g_hash_table_insert(table->by_token, GUINT_TO_POINTER(token),
+				    owner);
+	conflicts_mark(hosts, routed > 1);
+	g_ptr_array_unref(hosts);
 }
--- a/steering/routing.c
+++ b/steering/routing.c
@@ -55,6 +55,18 @@
 	return service_limit_compare(left, right);
 }
 
+/* The names belong to the rules. */
+static GHashTable *services_collect(struct route_rule *rules, size_t rule_count)
+{
+	GHashTable *services = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < rule_count; i++) {
+		for (uint32_t j = 0; j < rules[i].target_count; j++)
+			g_hash_table_add(services, rules[i].targets[j].service);
+	}
+	return services;
+}
+
 struct routing *routing_create(uint64_t version, uint32_t idle_timeout_ms,
 			       struct route_rule *rules, size_t rule_count)
 {
@@ -66,6 +78,7 @@
 	routing->idle_timeout_ms = idle_timeout_ms;
 	routing->rules = rules;
 	routing->rule_count = rule_count;
+	routing->services = services_collect(rules, rule_count);
 	routing->references = 1;
 	return routing;
 }
@@ -131,6 +144,7 @@
 {
 	if (!routing || --routing->references > 0)
 		return;
+	g_hash_table_unref(routing->services);
 	g_free(routing->rules);
 	g_free(routing->limits);
 	g_free(routing);
@@ -190,13 +204,5 @@
 
 bool routing_has_service(const struct routing *routing, const char *service)
 {
-	for (size_t i = 0; i < routing->rule_count; i++) {
-		const struct route_rule *rule = &routing->rules[i];
-
-		for (uint32_t j = 0; j < rule->target_count; j++) {
-			if (strcmp(rule->targets[j].service, service) == 0)
-				return true;
-		}
-	}
-	return false;
+	return g_hash_table_contains(routing->services, service);
 }
--- a/steering/slow_start_limit.c
+++ b/steering/slow_start_limit.c
@@ -270,9 +270,12 @@
 		return;
 	limits->zones_learned_ns = now_ns;
 	g_hash_table_iter_init(&iterator, host_table_all(hosts));
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		zone_learn(limits,
-			   ((struct known_host *)value)->published.zone);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct known_host *host = value;
+
+		if (host_is_routed(host))
+			zone_learn(limits, host->published.zone);
+	}
 }
 
 /* The last window may reach beyond the end of the slow start. */
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -43,6 +43,14 @@
 		routing_has_service(steering->routing, to));
 }
 
+static bool is_service_routed(void *context, const char *service)
+{
+	const struct steering *steering = context;
+
+	return !steering->routing ||
+	       routing_has_service(steering->routing, service);
+}
+
 static void host_deferred(void *context, const struct known_host *host)
 {
 	const struct steering *steering = context;
@@ -104,6 +112,7 @@
 	struct steering *steering = g_new0(struct steering, 1);
 	const struct host_table_options host_options = {
 		.can_change_service = can_change_service,
+		.is_service_routed = is_service_routed,
 		.is_zone_drained = is_zone_drained,
 		.on_deferred = host_deferred,
 		.on_changed = host_changed,
@@ -215,6 +224,7 @@
 	routing_unref(steering->routing);
 	steering->routing = routing_ref(routing);
 	slow_start_limits_set_routing(steering->slow_start, routing);
+	host_table_update_routes(steering->hosts);
 	host_table_retry_deferred(steering->hosts, steering_now(steering));
 	return true;
 }
--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -42,6 +42,7 @@
 		{ "servers/i-7f", "\xff\xfe", STORE_ITEM_IGNORED },
 		{ "servers/i-7f",
 		  "{\"service\":\"s\",\"address\":\"10.9.0.9\",\"zone\":\"a\","
+		  "\"version\":\"v1\",\"sequence\":1,"
 		  "\"slots\":3,\"coldRemainingMs\":0,\"born\":1,"
 		  "\"state\":\"ready\"}",
 		  STORE_ITEM_IGNORED },
@@ -105,9 +106,67 @@
 
 #define NUMBERED(address, slots, cold, born)                              \
 	"{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"a\","  \
+	"\"version\":\"v1\",\"sequence\":1,"                              \
 	"\"slots\":" slots ",\"coldRemainingMs\":" cold ",\"born\":" born \
 	",\"state\":\"ready\"}"
 
+#define FIRST_FIELDS                                                     \
+	"{\"service\":\"s\",\"address\":\"10.9.0.9:80\",\"zone\":\"a\"," \
+	"\"slots\":3,\"coldRemainingMs\":0,\"state\":\"ready\","
+
+/*
+ * Guards against the use of an entry that no host wrote: hosts write all fields,
+ * also those that the balancer does not use.
+ */
+START_TEST(entry_without_a_field_names_no_host) {
+	static const struct {
+		const char *fields;
+		enum store_item_kind kind;
+	} cases[] = {
+		{ "\"version\":\"v1\",\"sequence\":4,\"born\":1",
+		  STORE_ITEM_HOST },
+		{ "\"version\":\"\",\"sequence\":0,\"born\":0",
+		  STORE_ITEM_HOST },
+		{ "\"\\u0062orn\":1,\"version\":\"v1\",\"sequence\":4",
+		  STORE_ITEM_HOST },
+		{ "\"sequence\":4,\"born\":1", STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"born\":1", STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4", STORE_ITEM_IGNORED },
+		{ "\"version\":1,\"sequence\":4,\"born\":1",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":null,\"sequence\":4,\"born\":1",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":\"4\",\"born\":1",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":-4,\"born\":1",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4.5,\"born\":1",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4,\"born\":true",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4,\"born\":1,"
+		  "\"state\":\"sleeping\"",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4,\"born\":1,"
+		  "\"service\":\"a\\u0000\"",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4,\"born\":1,",
+		  STORE_ITEM_IGNORED },
+		{ "\"version\":\"v1\",\"sequence\":4 \"born\":1",
+		  STORE_ITEM_IGNORED },
+	};
+	char *value = g_strconcat(FIRST_FIELDS, cases[_i].fields, "}", NULL);
+	struct store_item item;
+
+	store_item_parse("servers/i-7f", value, strlen(value), 9, &item);
+	ck_assert_int_eq(item.kind, cases[_i].kind);
+	/* The host that had this id before stays as it was. */
+	ck_assert_str_eq(item.host.id, "i-7f");
+	store_item_clear(&item);
+	g_free(value);
+}
+END_TEST
+
 /*
  * Guards against a balancer that ends, stops following the store, or uses a
  * host because of one entry with a number or a port out of range.
@@ -299,6 +358,7 @@
 	tcase_add_test(cases, deeply_nested_values_are_rejected);
 	tcase_add_loop_test(cases, numbers_out_of_range_spoil_no_other_entry, 0,
 			    15);
+	tcase_add_loop_test(cases, entry_without_a_field_names_no_host, 0, 16);
 	tcase_add_test(cases, fields_of_a_host_are_read);
 	tcase_add_test(cases, split_routes_follow_their_weights);
 	tcase_add_loop_test(cases, zone_of_a_drain_is_read, 0, 9);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -55,8 +55,8 @@
 {
 	char *value = g_strdup_printf(
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
-		"\"slots\":1,\"state\":\"ready\",\"coldRemainingMs\":0,"
-		"\"born\":1,\"sequence\":1}");
+		"\"version\":\"v1\",\"slots\":1,\"state\":\"ready\","
+		"\"coldRemainingMs\":0,\"born\":1,\"sequence\":1}");
 	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
 
 	g_string_append_printf(text,
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -3,6 +3,9 @@
 #include <check.h>
 #include <string.h>
 
+/* Most routes that fixture_route_to() sets. */
+#define FIXTURE_ROUTES_MAX 4
+
 static void reset_record(void *context, const struct cached_flow *flow,
 			 enum steering_reason reason)
 {
@@ -42,6 +45,15 @@
 	fixture->down_count++;
 }
 
+static void reassignment_count(void *context, const struct known_host *host,
+			       const struct known_host *successor)
+{
+	struct fixture *fixture = context;
+
+	ck_assert_ptr_ne(host, successor);
+	fixture->reassignment_count++;
+}
+
 static void probe_count(void *context, const struct known_host *host)
 {
 	struct fixture *fixture = context;
@@ -134,6 +146,7 @@
 		.on_host_ended = changed_ignore,
 		.on_host_silence_changed = silence_count,
 		.on_host_down = down_count,
+		.on_address_reassigned = reassignment_count,
 		.on_host_slowness_changed = slowness_ignore,
 		.on_zone_drain_changed = drain_count,
 		.on_spillover_changed = spillover_count,
@@ -219,16 +232,31 @@
 
 bool fixture_route(struct fixture *fixture, uint64_t version, bool has_route)
 {
-	struct route_rule *rule = g_new0(struct route_rule, 1);
+	static const char *const none[] = { NULL };
+	static const char *const one[] = { "examen", NULL };
+
+	return fixture_route_to(fixture, version, has_route ? one : none);
+}
+
+bool fixture_route_to(struct fixture *fixture, uint64_t version,
+		      const char *const *services)
+{
+	struct route_rule *rules =
+		g_new0(struct route_rule, FIXTURE_ROUTES_MAX);
 	struct routing *routing;
+	size_t count = 0;
 	bool is_applied;
 
-	ip_address_parse(SERVICE_ADDRESS, &rule->address);
-	rule->port = SERVICE_PORT;
-	rule->target_count = 1;
-	rule->targets[0].weight = 1;
-	g_strlcpy(rule->targets[0].service, "examen", NAME_BYTES_MAX);
-	routing = routing_create(version, 15000, rule, has_route ? 1 : 0);
+	for (size_t i = 0; services[i]; i++) {
+		ck_assert_uint_lt(count++, FIXTURE_ROUTES_MAX);
+		ip_address_parse(SERVICE_ADDRESS, &rules[i].address);
+		rules[i].port = (uint16_t)(SERVICE_PORT + i);
+		rules[i].target_count = 1;
+		rules[i].targets[0].weight = 1;
+		g_strlcpy(rules[i].targets[0].service, services[i],
+			  NAME_BYTES_MAX);
+	}
+	routing = routing_create(version, 15000, rules, count);
 	is_applied = steering_set_routing(fixture->steering, routing);
 	routing_unref(routing);
 	return is_applied;
--- a/tests/steering/fixture.h
+++ b/tests/steering/fixture.h
@@ -30,6 +30,8 @@
 	uint32_t probe_count; /* probes started */
 	uint32_t silence_count; /* times a host became silent */
 	uint32_t down_count; /* times a host was found to be down */
+	/* Accepted probes whose address was assigned to another host. */
+	uint32_t reassignment_count;
 	uint32_t drain_change_count; /* times a zone was drained or restored */
 	uint32_t spillover_count; /* changes of a share that were reported */
 	/* Members of the zone; 0: not known well enough yet. */
@@ -61,6 +63,12 @@
 void fixture_drain(struct fixture *fixture, const char *zone, bool is_active);
 /** Routes SERVICE_ADDRESS to "examen"; without @has_route, to nothing. */
 bool fixture_route(struct fixture *fixture, uint64_t version, bool has_route);
+/**
+ * Routes SERVICE_ADDRESS to each of the services, which end with NULL: the
+ * first one at SERVICE_PORT, the others at the ports after it.
+ */
+bool fixture_route_to(struct fixture *fixture, uint64_t version,
+		      const char *const *services);
 struct known_host *fixture_host(struct fixture *fixture, uint32_t number);
 /** Ticks, and passes on the result of the probe of @host that this starts. */
 void fixture_probe(struct fixture *fixture, const struct known_host *host,
--- a/tests/steering/test_host_probes.c
+++ b/tests/steering/test_host_probes.c
@@ -187,13 +187,18 @@
 		int started_ms; /* after the start of the first host */
 		int revision; /* after the one of the first host */
 		bool is_removed;
+		bool is_routed;
 		uint32_t resets;
 	} cases[] = {
-		{ 1, 20, false, 1 },
-		{ -1, 20, false, 0 }, /* a late entry of an earlier host */
-		{ 1, -20, false, 0 },
-		{ 1, 20, true, 0 },
+		{ 1, 20, false, true, 1 },
+		/* A late entry of an earlier host. */
+		{ -1, 20, false, true, 0 },
+		{ 1, -20, false, true, 0 },
+		{ 1, 20, true, true, 0 },
+		/* Another program may have written the entry. */
+		{ 1, 20, false, false, 0 },
 	};
+	static const char *const services[] = { "examen", "archive", NULL };
 	struct known_host *host = flow_open(&fixture, 1);
 	struct host_announcement other = host->published;
 
@@ -204,6 +209,8 @@
 		(uint64_t)((int64_t)other.revision + cases[_i].revision);
 	other.started_ms =
 		(uint64_t)((int64_t)other.started_ms + cases[_i].started_ms);
+	if (cases[_i].is_routed)
+		fixture_route_to(&fixture, 2, services);
 	fixture_put(&fixture, &other);
 	if (cases[_i].is_removed)
 		host_table_remove(steering_hosts(fixture.steering), other.id,
@@ -211,6 +218,7 @@
 	packet_data_retransmit(&fixture, 1, host->token, 2);
 	fixture_probe(&fixture, host, PROBE_RESULT_UP);
 	ck_assert_uint_eq(fixture.reset_count, cases[_i].resets);
+	ck_assert_uint_eq(fixture.reassignment_count, cases[_i].resets);
 }
 END_TEST
 
@@ -331,7 +339,7 @@
 		cases, flows_end_after_retransmissions_while_the_host_is_down,
 		0, 5);
 	tcase_add_loop_test(
-		cases, reassigned_address_shows_that_the_host_has_ended, 0, 4);
+		cases, reassigned_address_shows_that_the_host_has_ended, 0, 5);
 	tcase_add_test(cases, silent_host_that_ends_is_found_by_probes);
 	tcase_add_test(cases, full_host_gets_no_new_flow);
 	tcase_add_loop_test(cases, probe_results_cause_expected_resets, 0, 10);
--- a/tests/steering/test_service_change.c
+++ b/tests/steering/test_service_change.c
@@ -22,17 +22,9 @@
 
 static void route_to(uint64_t version, const char *service)
 {
-	struct route_rule *rules = g_new0(struct route_rule, 1);
-	struct routing *routing;
-
-	ip_address_parse(SERVICE_ADDRESS, &rules[0].address);
-	rules[0].port = SERVICE_PORT;
-	rules[0].target_count = 1;
-	rules[0].targets[0].weight = 1;
-	g_strlcpy(rules[0].targets[0].service, service, NAME_BYTES_MAX);
-	routing = routing_create(version, 15000, rules, 1);
-	steering_set_routing(fixture.steering, routing);
-	routing_unref(routing);
+	const char *const services[] = { service, NULL };
+
+	ck_assert(fixture_route_to(&fixture, version, services));
 }
 
 /*
