Give up a response of the store for silence, not for its length

Cause: one timer of 800 ms ran from the request to the end of the response. The value takes 1.1 s on that link, so each listing began again and again.

The timer now starts anew with each part of a response. One that falls silent is given up as soon as before: 800 ms after its last part, or after the wait of a watch.

--- a/http/http_client.c
+++ b/http/http_client.c
@@ -21,6 +21,7 @@
 	GInputStream *stream;
 	GByteArray *body;
 	guint timer;
+	bool has_begun; /* the response has */
 	bool is_timed_out;
 	bool is_cancelled;
 };
@@ -79,7 +80,9 @@
 	}
 	if (request->is_timed_out) {
 		response.outcome = HTTP_TIMEOUT;
-		response.reason = "no response within the timeout";
+		response.reason = request->has_begun
+					  ? "response stalled"
+					  : "no response within the timeout";
 	}
 	if (response.outcome != HTTP_TIMEOUT)
 		response.status = soup_message_get_status(message);
@@ -92,6 +95,26 @@
 	request_free(request);
 }
 
+static gboolean on_timeout(gpointer context)
+{
+	struct http_request *request = context;
+
+	request->timer = 0;
+	request->is_timed_out = true;
+	g_cancellable_cancel(request->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+/* A part of the response has come, so the time for the next one begins. */
+static void timeout_restart(struct http_request *request)
+{
+	request->has_begun = true;
+	if (request->timer)
+		g_source_remove(request->timer);
+	request->timer =
+		g_timeout_add(request->get.pause_max_ms, on_timeout, request);
+}
+
 static void read_more(struct http_request *request);
 
 static void on_read(GObject *source, GAsyncResult *result, gpointer context)
@@ -108,6 +131,7 @@
 		g_error_free(error);
 		return;
 	}
+	timeout_restart(request);
 	data = g_bytes_get_data(bytes, &length);
 	if (length > request->get.bytes_max - request->body->len)
 		request_end(request, HTTP_OVERSIZED,
@@ -141,6 +165,7 @@
 		g_error_free(error);
 		return;
 	}
+	timeout_restart(request);
 	headers = soup_message_get_response_headers(request->message);
 	if (soup_message_get_status(request->message) != SOUP_STATUS_OK)
 		request_end(request, HTTP_FAILED,
@@ -172,16 +197,6 @@
 	g_object_unref(message);
 }
 
-static gboolean on_timeout(gpointer context)
-{
-	struct http_request *request = context;
-
-	request->timer = 0;
-	request->is_timed_out = true;
-	g_cancellable_cancel(request->cancellable);
-	return G_SOURCE_REMOVE;
-}
-
 struct http_request *http_client_get(struct http_client *client,
 				     const struct http_get *get)
 {
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -2,8 +2,8 @@
 #define PARSLEYLADDER_HTTP_HTTP_CLIENT_H
 
 /**
- * Asynchronous HTTP GET with limits on the size and the duration of a
- * response.
+ * Asynchronous HTTP GET with limits on the size of a response, and on the time
+ * without progress.
  */
 
 #include <glib.h>
@@ -28,7 +28,8 @@
 struct http_get {
 	const char *path; /* with the query, e.g. "/v1/index?after=0" */
 	size_t bytes_max;
-	uint32_t timeout_ms;
+	uint32_t timeout_ms; /* until the response begins */
+	uint32_t pause_max_ms; /* from then on, between two parts of it */
 	void (*on_response)(void *context,
 			    const struct http_response *response);
 	void *context;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -20,7 +20,11 @@
 	const struct clock *clock;
 	uint64_t random_seed; /* of the backoff jitter */
 	uint32_t watch_wait_ms; /* longest time that a watch is held open */
-	uint32_t response_timeout_ms; /* for a watch, added to watch_wait_ms */
+	/*
+	 * Until a response begins, for a watch added to watch_wait_ms; then
+	 * between two parts of it.
+	 */
+	uint32_t response_timeout_ms;
 	uint32_t batch_ms; /* pause after changes, to batch later ones */
 	/** A complete listing as of @revision starts. */
 	void (*on_listing_begin)(void *context, uint64_t revision);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -1,6 +1,7 @@
 /*
  * Guards against a client that misses changes between pages or after the store
- * discarded its history, waits forever for a response, or sends requests to an
+ * discarded its history, waits forever for a
+ * response, gives up one that makes progress, or sends requests to an
  * unavailable store without a delay.
  */
 
@@ -26,8 +27,14 @@
 	RESPOND_HISTORY_GONE, /* 410 to a watch */
 	NO_RESPONSE, /* never responds */
 	RESPOND_MALFORMED,
+	RESPOND_SLOWLY, /* each part before the timeout, all of it after */
+	RESPOND_IN_PART, /* and no more */
 };
 
+/* Parts of a slow response, and the pause between them. */
+#define SLOW_PARTS 6
+#define SLOW_PAUSE_MS (RESPONSE_TIMEOUT_MS / 4)
+
 struct fixture {
 	SoupServer *server;
 	struct store *store;
@@ -47,6 +54,9 @@
 	uint32_t outages;
 	uint32_t recoveries;
 	SoupServerMessage *paused_message;
+	uint32_t parts; /* of the paused message that were sent */
+	uint32_t parts_max;
+	guint part_timer;
 };
 
 static struct fixture fixture;
@@ -123,6 +133,50 @@
 	text_respond(message, text);
 }
 
+/* Sends white space, and the response itself after the last part. */
+static gboolean part_send(gpointer data)
+{
+	SoupServerMessage *message = fixture.paused_message;
+	SoupMessageBody *body = soup_server_message_get_response_body(message);
+	GString *text = data;
+
+	if (fixture.parts++ < fixture.parts_max) {
+		soup_message_body_append(body, SOUP_MEMORY_STATIC, " ", 1);
+		soup_server_message_unpause(message);
+		return G_SOURCE_CONTINUE;
+	}
+	fixture.part_timer = 0;
+	if (fixture.parts_max < SLOW_PARTS)
+		return G_SOURCE_REMOVE;
+	soup_message_body_append(body, SOUP_MEMORY_COPY, text->str, text->len);
+	soup_message_body_complete(body);
+	soup_server_message_unpause(message);
+	return G_SOURCE_REMOVE;
+}
+
+static void text_free(gpointer data)
+{
+	g_string_free(data, TRUE);
+}
+static void parts_respond(SoupServerMessage *message, uint32_t parts_max)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text,
+			       "{\"events\":[],\"currentRev\":%" PRIu64 "}",
+			       fixture.revision);
+	g_clear_object(&fixture.paused_message);
+	fixture.paused_message = g_object_ref(message);
+	fixture.parts = 0;
+	fixture.parts_max = parts_max;
+	soup_server_message_set_status(message, 200, NULL);
+	soup_message_headers_set_encoding(
+		soup_server_message_get_response_headers(message),
+		SOUP_ENCODING_CHUNKED);
+	fixture.part_timer = g_timeout_add_full(
+		G_PRIORITY_DEFAULT, SLOW_PAUSE_MS, part_send, text, text_free);
+}
+
 static void request_handle(SoupServer *server, SoupServerMessage *message,
 			   const char *path, GHashTable *query, gpointer data)
 {
@@ -157,6 +211,12 @@
 	case RESPOND_MALFORMED:
 		text_respond(message, g_string_new("<html>"));
 		break;
+	case RESPOND_SLOWLY:
+		parts_respond(message, SLOW_PARTS);
+		break;
+	case RESPOND_IN_PART:
+		parts_respond(message, 1);
+		break;
 	}
 }
 
@@ -246,6 +306,8 @@
 static void store_close(void)
 {
 	store_destroy(fixture.store);
+	if (fixture.part_timer)
+		g_source_remove(fixture.part_timer);
 	if (fixture.paused_message)
 		g_object_unref(fixture.paused_message);
 	soup_server_disconnect(fixture.server);
@@ -326,6 +388,10 @@
 		{ RESPOND_UNAVAILABLE, 3, 1, 1, 1500 },
 		{ NO_RESPONSE, 1, 1, 1, 1500 + RESPONSE_TIMEOUT_MS },
 		{ RESPOND_MALFORMED, 2, 1, 1, 1500 },
+		{ RESPOND_SLOWLY, 1, 1, 0,
+		  500 + (SLOW_PARTS + 1) * SLOW_PAUSE_MS },
+		{ RESPOND_IN_PART, 1, 1, 1,
+		  1500 + RESPONSE_TIMEOUT_MS + SLOW_PAUSE_MS },
 	};
 
 	store_set_following(fixture.store, true);
@@ -393,7 +459,7 @@
 	tcase_add_loop_test(cases, first_page_reports_whether_more_follow, 0,
 			    2);
 	tcase_add_test(cases, watch_reports_change);
-	tcase_add_loop_test(cases, client_recovers_from_store_faults, 0, 4);
+	tcase_add_loop_test(cases, client_recovers_from_store_faults, 0, 6);
 	tcase_add_test(cases, unavailable_store_gets_few_requests);
 	tcase_add_test(cases, stopped_client_sends_no_requests);
 	tcase_add_test(cases, finished_listing_is_not_repeated);
