List again after an answer to a watch that is too large

Cause: an answer to a watch has all changes since its revision. One above 8 MiB was dropped, and the same watch was sent again, until the store had discarded the history.

A listing now follows at once, as after 410: its pages are bounded. Both are logged with the revision and the age of what is known (changes_missed).

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -42,6 +42,12 @@
 	 */
 	void (*on_revision_confirmed)(void *context, uint64_t revision,
 				      int64_t confirmed_ns);
+	/**
+	 * The changes after @revision cannot be had, for @reason; a listing
+	 * follows.
+	 */
+	void (*on_changes_missed)(void *context, const char *reason,
+				  uint64_t revision);
 	/**
 	 * The first request ended, requests started to fail, or they succeed
 	 * again.
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -137,6 +137,17 @@
 	edge_flush(balancer->sharing_edge);
 }
 
+static void changes_missed(void *context, const char *reason, uint64_t revision)
+{
+	const struct balancer *balancer = context;
+
+	log_event(LOG_LEVEL_WARNING, "changes_missed",
+		  "reason=\"%s\" revision=%" PRIu64 " age_ms=%" PRId64, reason,
+		  revision,
+		  balancer_age_ms(balancer,
+				  balancer->replica_status.confirmed_ns));
+}
+
 static void store_reachability_changed(void *context, bool is_reachable,
 				       const char *reason)
 {
@@ -170,6 +181,7 @@
 		.on_first_page = first_page_handle,
 		.on_item = store_item_apply,
 		.on_revision_confirmed = revision_confirmed,
+		.on_changes_missed = changes_missed,
 		.on_reachability_changed = store_reachability_changed,
 		.context = balancer,
 	};
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -1,6 +1,6 @@
 /*
  * Guards against a client that misses changes between pages or after the store
- * discarded its history, waits forever for a
+ * discarded its history or answers too much at once, waits forever for a
  * response, gives up one that makes progress, or sends requests to an
  * unavailable store without a delay.
  */
@@ -29,11 +29,14 @@
 	RESPOND_MALFORMED,
 	RESPOND_SLOWLY, /* each part before the timeout, all of it after */
 	RESPOND_IN_PART, /* and no more */
+	RESPOND_TOO_MUCH, /* to a watch */
 };
 
 /* Parts of a slow response, and the pause between them. */
 #define SLOW_PARTS 6
 #define SLOW_PAUSE_MS (RESPONSE_TIMEOUT_MS / 4)
+/* More than the client accepts. */
+#define TOO_MUCH_BYTES (9 * 1024 * 1024)
 
 struct fixture {
 	SoupServer *server;
@@ -53,6 +56,7 @@
 	bool stops_at_first_page;
 	uint32_t outages;
 	uint32_t recoveries;
+	uint32_t misses; /* times that changes could not be had */
 	SoupServerMessage *paused_message;
 	uint32_t parts; /* of the paused message that were sent */
 	uint32_t parts_max;
@@ -165,8 +169,7 @@
 	g_string_append_printf(text,
 			       "{\"events\":[],\"currentRev\":%" PRIu64 "}",
 			       fixture.revision);
-	g_clear_object(&fixture.paused_message);
-	fixture.paused_message = g_object_ref(message);
+	g_set_object(&fixture.paused_message, message);
 	fixture.parts = 0;
 	fixture.parts_max = parts_max;
 	soup_server_message_set_status(message, 200, NULL);
@@ -177,6 +180,16 @@
 		G_PRIORITY_DEFAULT, SLOW_PAUSE_MS, part_send, text, text_free);
 }
 
+static void too_much_respond(SoupServerMessage *message)
+{
+	char *spaces = g_strnfill(TOO_MUCH_BYTES, ' ');
+
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(message, "application/json",
+					 SOUP_MEMORY_TAKE, spaces,
+					 TOO_MUCH_BYTES);
+}
+
 static void request_handle(SoupServer *server, SoupServerMessage *message,
 			   const char *path, GHashTable *query, gpointer data)
 {
@@ -187,7 +200,8 @@
 	(void)data;
 	fixture.calls++;
 	if (fixture.behaviour_count > 0 &&
-	    (is_watch || fixture.behaviour != RESPOND_HISTORY_GONE)) {
+	    (is_watch || (fixture.behaviour != RESPOND_HISTORY_GONE &&
+			  fixture.behaviour != RESPOND_TOO_MUCH))) {
 		fixture.behaviour_count--;
 		behaviour = fixture.behaviour;
 	}
@@ -206,7 +220,7 @@
 		break;
 	case NO_RESPONSE:
 		soup_server_message_pause(message);
-		fixture.paused_message = g_object_ref(message);
+		g_set_object(&fixture.paused_message, message);
 		break;
 	case RESPOND_MALFORMED:
 		text_respond(message, g_string_new("<html>"));
@@ -217,6 +231,9 @@
 	case RESPOND_IN_PART:
 		parts_respond(message, 1);
 		break;
+	case RESPOND_TOO_MUCH:
+		too_much_respond(message);
+		break;
 	}
 }
 
@@ -255,6 +272,14 @@
 	(void)at_ns;
 }
 
+static void miss_count(void *context, const char *reason, uint64_t revision)
+{
+	(void)context;
+	ck_assert_ptr_nonnull(reason);
+	ck_assert_uint_le(revision, fixture.revision);
+	fixture.misses++;
+}
+
 static void reachability_count(void *context, bool is_reachable,
 			       const char *reason)
 {
@@ -279,6 +304,7 @@
 		.on_first_page = first_page_record,
 		.on_item = item_record,
 		.on_revision_confirmed = current_ignore,
+		.on_changes_missed = miss_count,
 		.on_reachability_changed = reachability_count,
 	};
 	char address[64];
@@ -308,8 +334,7 @@
 	store_destroy(fixture.store);
 	if (fixture.part_timer)
 		g_source_remove(fixture.part_timer);
-	if (fixture.paused_message)
-		g_object_unref(fixture.paused_message);
+	g_clear_object(&fixture.paused_message);
 	soup_server_disconnect(fixture.server);
 	g_object_unref(fixture.server);
 	g_hash_table_unref(fixture.reported_ids);
@@ -382,15 +407,19 @@
 		uint32_t count;
 		uint32_t listings_min; /* after the fault */
 		uint32_t outages;
+		uint32_t misses;
 		uint32_t wait_ms;
 	} cases[] = {
-		{ RESPOND_HISTORY_GONE, 1, 2, 0, 1500 },
-		{ RESPOND_UNAVAILABLE, 3, 1, 1, 1500 },
-		{ NO_RESPONSE, 1, 1, 1, 1500 + RESPONSE_TIMEOUT_MS },
-		{ RESPOND_MALFORMED, 2, 1, 1, 1500 },
-		{ RESPOND_SLOWLY, 1, 1, 0,
+		{ RESPOND_HISTORY_GONE, 1, 2, 0, 1, 1500 },
+		{ RESPOND_UNAVAILABLE, 3, 1, 1, 0, 1500 },
+		{ NO_RESPONSE, 1, 1, 1, 0, 1500 + RESPONSE_TIMEOUT_MS },
+		{ RESPOND_MALFORMED, 2, 1, 1, 0, 1500 },
+		/* The same watch would get the same answer. */
+		{ RESPOND_TOO_MUCH, 1, 2, 0, 1, 1500 },
+		{ RESPOND_TOO_MUCH, 3, 4, 0, 3, 3000 },
+		{ RESPOND_SLOWLY, 1, 1, 0, 0,
 		  500 + (SLOW_PARTS + 1) * SLOW_PAUSE_MS },
-		{ RESPOND_IN_PART, 1, 1, 1,
+		{ RESPOND_IN_PART, 1, 1, 1, 0,
 		  1500 + RESPONSE_TIMEOUT_MS + SLOW_PAUSE_MS },
 	};
 
@@ -404,6 +433,7 @@
 	ck_assert(g_hash_table_contains(fixture.reported_ids, "i-ee"));
 	ck_assert_uint_ge(fixture.listings, cases[_i].listings_min);
 	ck_assert_uint_eq(fixture.outages, cases[_i].outages);
+	ck_assert_uint_eq(fixture.misses, cases[_i].misses);
 }
 END_TEST
 
@@ -459,7 +489,7 @@
 	tcase_add_loop_test(cases, first_page_reports_whether_more_follow, 0,
 			    2);
 	tcase_add_test(cases, watch_reports_change);
-	tcase_add_loop_test(cases, client_recovers_from_store_faults, 0, 6);
+	tcase_add_loop_test(cases, client_recovers_from_store_faults, 0, 8);
 	tcase_add_test(cases, unavailable_store_gets_few_requests);
 	tcase_add_test(cases, stopped_client_sends_no_requests);
 	tcase_add_test(cases, finished_listing_is_not_repeated);
