--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -222,6 +222,10 @@
  */
 void soak_zone_drain(struct soak *soak);
 void soak_zone_drain_all(struct soak *soak);
+/** Entries as large as the store takes, which name no host. */
+void soak_foreign_values_put(struct soak *soak);
+/** An entry at the address of each host, of a service without a route. */
+void soak_foreign_agents_put(struct soak *soak);
 /** Checks an opening packet that an undisturbed balancer sent to @host. */
 void soak_zone_opening_check(const struct soak_host *host,
 			     const struct soak_balancer *sender);
--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -428,6 +428,8 @@
 	{ "host-drain", fault_host_drain, 2 },
 	{ "routes", fault_routes, 2 },
 	{ "foreign", fault_malformed_entry, 1 },
+	{ "foreign-values", soak_foreign_values_put, 0 },
+	{ "foreign-agents", soak_foreign_agents_put, 0 },
 	{ "refusal", fault_refusal, 0 },
 	{ "zone-drain", soak_zone_drain, 0 },
 	{ "zone-drain-all", soak_zone_drain_all, 0 },
