Reject an empty response of the store before its encoding is checked

A response without a body has no text, and its address may be NULL, which was handed to g_utf8_validate(). GLib takes that with a length of 0, so nothing was seen: this is by reading only.

empty_response_is_rejected passes with and without the change (also with G_DEBUG=fatal-criticals); it keeps the result as it is.

--- a/configuration/json_slice.c
+++ b/configuration/json_slice.c
@@ -148,48 +148,35 @@
 	return false;
 }
 
-/* Leaves the position at the first invalid token. */
 static bool text_check(struct check *check)
 {
 	for (;;) {
-		const char *token = spaces_end(check->position, check->end);
-
-		check->position = token;
-		if (token == check->end)
+		check->position = spaces_end(check->position, check->end);
+		if (check->position == check->end)
 			return check->expected == EXPECTED_NOTHING;
-		if (token_check(check))
-			continue;
-		check->position = token;
-		return false;
+		if (!token_check(check))
+			return false;
 	}
 }
 
 bool json_slice_check(const char *data, size_t length,
-		      struct json_slice *object, struct error *error)
+		      struct json_slice *object)
 {
-	struct check check = {
-		.position = data,
-		.end = data + length,
-		.depth_max = length / 2,
-	};
+	struct check check = { .depth_max = length / 2 };
 	bool is_valid;
 
-	if (!g_utf8_validate(data, (gssize)length, NULL))
-		return error_set(error, ERROR_PLATFORM,
-				 "text is not valid UTF-8");
+	if (length == 0 || !g_utf8_validate(data, (gssize)length, NULL))
+		return false;
+	check.position = data;
+	check.end = data + length;
 	check.levels = g_malloc0(check.depth_max / 8 + 1);
 	is_valid = text_check(&check);
 	g_free(check.levels);
 	if (!is_valid)
-		return error_set(error, ERROR_PLATFORM,
-				 "invalid JSON at byte %zu",
-				 (size_t)(check.position - data));
+		return false;
 	object->start = spaces_end(data, check.end);
 	object->length = (size_t)(check.end - object->start);
-	if (*object->start != '{')
-		return error_set(error, ERROR_PLATFORM,
-				 "expected a JSON object");
-	return true;
+	return json_slice_is_object(*object);
 }
 
 static const char *container_end(const char *position, const char *end)
--- a/include/configuration/json_slice.h
+++ b/include/configuration/json_slice.h
@@ -11,8 +11,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "common/error.h"
-
 /** A JSON value in a text that outlives it. */
 struct json_slice {
 	const char *start; /* NULL for no value */
@@ -33,11 +31,10 @@
 
 /**
  * Checks that the text is valid UTF-8 and one JSON object of any depth. Strings
- * may hold control characters and any escapes. Returns false and fills @error
- * (ERROR_PLATFORM), which may be NULL, otherwise.
+ * may hold control characters and any escapes. Fills @object if it is.
  */
 bool json_slice_check(const char *data, size_t length,
-		      struct json_slice *object, struct error *error);
+		      struct json_slice *object);
 
 /* The functions below require values of a checked text. */
 
--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -349,6 +349,17 @@
 }
 END_TEST
 
+/* Guards against a response without a body that is read all the same. */
+START_TEST(empty_response_is_rejected) {
+	GBytes *body = g_bytes_new(NULL, 0);
+	struct error error = { 0 };
+
+	ck_assert_ptr_null(store_response_parse(body, &error));
+	ck_assert_int_eq(error.kind, ERROR_PLATFORM);
+	g_bytes_unref(body);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store items");
@@ -363,6 +374,7 @@
 	tcase_add_test(cases, split_routes_follow_their_weights);
 	tcase_add_loop_test(cases, zone_of_a_drain_is_read, 0, 9);
 	tcase_add_loop_test(cases, responses_are_validated, 0, 8);
+	tcase_add_test(cases, empty_response_is_rejected);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
