Show that members learn of removals that their reader has freed

An entry without a route is freed as soon as it is removed, and only its removal is kept. No test showed that a member which was away at that moment still gets the removal from its reader. removal_of_an_entry_without_routes_reaches_all does; it fails if the removal is not kept (trial).

--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -84,6 +84,26 @@
 }
 END_TEST
 
+/* Guards against members that keep an entry whose removal its reader freed. */
+START_TEST(removal_of_an_entry_without_routes_reaches_all) {
+	network_publish_host(&network, HOSTS + 1, false);
+	network_move_host(&network, HOSTS + 1, "archive");
+	network_run(&network, 1000);
+	service_check(HOSTS + 1, "archive");
+	network.nodes[NODES - 1].is_down = true;
+	network_withdraw_host(&network, HOSTS + 1);
+	network_run(&network, 1000);
+	for (uint32_t i = 0; i < NODES; i++)
+		steering_tick(network.nodes[i].steering);
+	network.nodes[NODES - 1].is_down = false;
+	network_run(&network, 2000);
+	for (uint32_t i = 0; i < NODES; i++)
+		ck_assert_uint_eq(host_table_count(steering_hosts(
+					  network.nodes[i].steering)),
+				  HOSTS);
+}
+END_TEST
+
 /*
  * Guards against followers that never get past the removals that fit into one
  * message, and then all read the store. A reader whose history was dropped
@@ -466,6 +486,7 @@
 	tcase_add_test(cases, restarted_reader_is_not_asked_for_listings);
 	tcase_add_test(cases, no_update_is_lost_with_lost_datagrams);
 	tcase_add_test(cases, host_changes_its_service_before_the_routes);
+	tcase_add_test(cases, removal_of_an_entry_without_routes_reaches_all);
 	tcase_add_test(cases, many_removals_of_one_listing_reach_all);
 	tcase_add_test(cases, open_flows_of_a_zone_are_summed);
 	tcase_add_test(cases, open_flows_of_all_hosts_of_a_zone_are_known);
