Keep the time that a watch has for the start of its answer's body

A store that sends the header of an answer to a watch before it has a change would have had 800 ms for the body from then on, where it had the wait and 800 ms before: found by reading, no store at hand does so.

The time of the whole request runs on as before; only when it is over does a response need a part in the last 800 ms.

--- a/http/http_client.c
+++ b/http/http_client.c
@@ -20,8 +20,8 @@
 	GCancellable *cancellable;
 	GInputStream *stream;
 	GByteArray *body;
-	guint timer;
-	bool has_begun; /* the response has */
+	guint timer; /* of the whole request */
+	guint pause_timer; /* since the last part of the response */
 	bool is_timed_out;
 	bool is_cancelled;
 };
@@ -59,6 +59,8 @@
 {
 	if (request->timer)
 		g_source_remove(request->timer);
+	if (request->pause_timer)
+		g_source_remove(request->pause_timer);
 	if (request->stream)
 		g_object_unref(request->stream);
 	g_object_unref(request->message);
@@ -80,9 +82,7 @@
 	}
 	if (request->is_timed_out) {
 		response.outcome = HTTP_TIMEOUT;
-		response.reason = request->has_begun
-					  ? "response stalled"
-					  : "no response within the timeout";
+		response.reason = "no response within the timeout";
 	}
 	if (response.outcome != HTTP_TIMEOUT)
 		response.status = soup_message_get_status(message);
@@ -95,24 +95,39 @@
 	request_free(request);
 }
 
+static void request_time_out(struct http_request *request)
+{
+	request->is_timed_out = true;
+	g_cancellable_cancel(request->cancellable);
+}
+
 static gboolean on_timeout(gpointer context)
 {
 	struct http_request *request = context;
 
 	request->timer = 0;
-	request->is_timed_out = true;
-	g_cancellable_cancel(request->cancellable);
+	if (!request->pause_timer)
+		request_time_out(request);
 	return G_SOURCE_REMOVE;
 }
 
-/* A part of the response has come, so the time for the next one begins. */
-static void timeout_restart(struct http_request *request)
+static gboolean on_pause(gpointer context)
 {
-	request->has_begun = true;
-	if (request->timer)
-		g_source_remove(request->timer);
-	request->timer =
-		g_timeout_add(request->get.pause_max_ms, on_timeout, request);
+	struct http_request *request = context;
+
+	request->pause_timer = 0;
+	if (!request->timer)
+		request_time_out(request);
+	return G_SOURCE_REMOVE;
+}
+
+/* A part of the response has come. */
+static void pause_begin(struct http_request *request)
+{
+	if (request->pause_timer)
+		g_source_remove(request->pause_timer);
+	request->pause_timer =
+		g_timeout_add(request->get.pause_max_ms, on_pause, request);
 }
 
 static void read_more(struct http_request *request);
@@ -131,7 +146,7 @@
 		g_error_free(error);
 		return;
 	}
-	timeout_restart(request);
+	pause_begin(request);
 	data = g_bytes_get_data(bytes, &length);
 	if (length > request->get.bytes_max - request->body->len)
 		request_end(request, HTTP_OVERSIZED,
@@ -165,7 +180,6 @@
 		g_error_free(error);
 		return;
 	}
-	timeout_restart(request);
 	headers = soup_message_get_response_headers(request->message);
 	if (soup_message_get_status(request->message) != SOUP_STATUS_OK)
 		request_end(request, HTTP_FAILED,
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -28,8 +28,9 @@
 struct http_get {
 	const char *path; /* with the query, e.g. "/v1/index?after=0" */
 	size_t bytes_max;
-	uint32_t timeout_ms; /* until the response begins */
-	uint32_t pause_max_ms; /* from then on, between two parts of it */
+	uint32_t timeout_ms; /* for the whole request, but see pause_max_ms */
+	/* A response goes on after the timeout while its parts follow in this. */
+	uint32_t pause_max_ms;
 	void (*on_response)(void *context,
 			    const struct http_response *response);
 	void *context;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -21,8 +21,8 @@
 	uint64_t random_seed; /* of the backoff jitter */
 	uint32_t watch_wait_ms; /* longest time that a watch is held open */
 	/*
-	 * Until a response begins, for a watch added to watch_wait_ms; then
-	 * between two parts of it.
+	 * For a response, for a watch added to watch_wait_ms; a response that
+	 * takes longer has this time between two parts.
 	 */
 	uint32_t response_timeout_ms;
 	uint32_t batch_ms; /* pause after changes, to batch later ones */
