--- a/tests/sharing/test_routes.c
+++ b/tests/sharing/test_routes.c
@@ -265,13 +265,23 @@
 }
 END_TEST
 
-int main(void)
+static TCase *case_create(Suite *suite, const char *name)
 {
-	Suite *suite = suite_create("routes");
-	TCase *cases = tcase_create("interrupted transfers");
+	TCase *cases = tcase_create(name);
 
 	tcase_set_timeout(cases, 30);
 	tcase_add_checked_fixture(cases, setup, teardown);
+	suite_add_tcase(suite, cases);
+	return cases;
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("routes");
+	TCase *cases = case_create(suite, "interrupted transfers");
+	TCase *obsolete = case_create(suite, "obsolete transfers");
+	TCase *lossy = case_create(suite, "lost datagrams");
+
 	tcase_add_loop_test(cases, routes_survive_the_failure_of_their_reader,
 			    0, STEPS);
 	tcase_add_loop_test(cases,
@@ -279,18 +289,18 @@
 			    STEPS);
 	tcase_add_loop_test(cases, routes_survive_a_change_of_the_leader, 0,
 			    STEPS);
-	tcase_add_loop_test(cases, obsolete_transfer_does_not_hide_host_changes,
-			    0, STEPS);
-	tcase_add_loop_test(cases, transfer_restarts_when_its_base_changes, 0,
+	tcase_add_loop_test(obsolete,
+			    obsolete_transfer_does_not_hide_host_changes, 0,
 			    STEPS);
-	tcase_add_loop_test(cases, lost_datagrams_lose_no_routes, 0, STEPS);
+	tcase_add_loop_test(obsolete, transfer_restarts_when_its_base_changes,
+			    0, STEPS);
+	tcase_add_loop_test(lossy, lost_datagrams_lose_no_routes, 0, STEPS);
 	tcase_add_loop_test(
-		cases, refused_balancers_of_a_small_zone_get_routes_in_time, 0,
+		lossy, refused_balancers_of_a_small_zone_get_routes_in_time, 0,
 		STEPS * 2);
-	tcase_add_loop_test(cases, restarted_member_passes_on_what_it_knows, 0,
+	tcase_add_loop_test(lossy, restarted_member_passes_on_what_it_knows, 0,
 			    STEPS);
-	tcase_add_loop_test(cases, removals_survive_the_failure_of_their_reader,
+	tcase_add_loop_test(lossy, removals_survive_the_failure_of_their_reader,
 			    0, REMOVAL_STEPS);
-	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
