Say which fields of an ignored entry are valid

The comment said that only id and revision are set, but fields that were read before the invalid one are filled, too. Found when the diff was read again; a comment only.

--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -30,7 +30,7 @@
 	enum store_item_kind kind;
 	char *key;
 	uint64_t revision;
-	/* Of an entry that names no host, only id and revision are set. */
+	/* Of an entry that names no host, only id and revision are valid. */
 	struct host_announcement host;
 	struct routing *routing; /* owned by the item */
 	/*
