Log the evidence and its age with each reset of an open flow

Two lines are written about a reset of an open flow: one when a probe ends and one when a packet of the flow arrives. The second one had neither the health of the host nor the age of what is known of it, so a reset on an old verdict looked like one on a fresh probe.

Both lines now end with misses, progress_age_ms, probe_age_ms and refusing.

--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -6,6 +6,8 @@
 
 /* "ADDRESS:PORT>ADDRESS:PORT" */
 #define FLOW_TEXT_BYTES (2 * (IP_ADDRESS_TEXT_BYTES + 6) + 2)
+/* Four keys with a number of up to 20 digits each. */
+#define EVIDENCE_TEXT_BYTES 160
 
 /* All hosts of a zone may be published at once; few change after that. */
 #define HOST_LINES_PER_S 50
@@ -105,12 +107,30 @@
 	return "none";
 }
 
+/* What this balancer observed of a host whose flow it ends, and how old it is. */
+static const char *evidence_print(const struct balancer *balancer,
+				  const struct known_host *host,
+				  char text[EVIDENCE_TEXT_BYTES])
+{
+	const struct host_health *health = &host->health;
+
+	g_snprintf(text, EVIDENCE_TEXT_BYTES,
+		   " misses=%u progress_age_ms=%" PRId64
+		   " probe_age_ms=%" PRId64 " refusing=%d",
+		   health->retransmissions,
+		   balancer_age_ms(balancer, health->progress_ns),
+		   balancer_age_ms(balancer, health->probed_ns),
+		   health->is_refusing);
+	return text;
+}
+
 void flow_log_decision(void *context, const struct token_packet *packet,
 		       const struct steering_decision *decision)
 {
 	struct balancer *balancer = context;
 	const struct known_host *host = decision->host;
 	enum rate_limited_event event = decision_event(decision);
+	char evidence[EVIDENCE_TEXT_BYTES] = "";
 	char flow[FLOW_TEXT_BYTES];
 
 	if (event == EVENT_FLOW_PLACED)
@@ -123,10 +143,13 @@
 				0));
 	if (!log_line_is_allowed(balancer, event))
 		return;
+	if (event == EVENT_FLOW_RESET && host)
+		evidence_print(balancer, host, evidence);
 	log_event(LOG_LEVEL_INFO, event_names[event],
 		  "flow=%s token=%08x seq=%u copy=%u reason=%s choice=%s "
 		  "host=%s zone=%s flows=%u host_revision=%" PRIu64
-		  " version=%" PRIu64 " revision=%" PRIu64 " age_ms=%" PRId64,
+		  " version=%" PRIu64 " revision=%" PRIu64 " age_ms=%" PRId64
+		  "%s",
 		  flow_print(&packet->fields.key, flow),
 		  host ? host->token : packet->token,
 		  packet->fields.tcp_sequence, packet->copy,
@@ -138,29 +161,29 @@
 		  balancer_routes_version(balancer),
 		  balancer->replica_status.revision,
 		  balancer_age_ms(balancer,
-				  balancer->replica_status.confirmed_ns));
+				  balancer->replica_status.confirmed_ns),
+		  evidence);
 }
 
 void flow_log_reset(struct balancer *balancer, const struct cached_flow *flow,
 		    enum steering_reason reason)
 {
 	const struct known_host *host = flow->host;
+	char evidence[EVIDENCE_TEXT_BYTES];
 	char text[FLOW_TEXT_BYTES];
 
 	if (!log_line_is_allowed(balancer, EVENT_FLOW_RESET))
 		return;
 	log_event(LOG_LEVEL_INFO, event_names[EVENT_FLOW_RESET],
-		  "flow=%s token=%08x reason=%s host=%s misses=%u "
-		  "progress_age_ms=%" PRId64 " packet_age_ms=%" PRId64
-		  " revision=%" PRIu64 " age_ms=%" PRId64,
+		  "flow=%s token=%08x reason=%s host=%s packet_age_ms=%" PRId64
+		  " revision=%" PRIu64 " age_ms=%" PRId64 "%s",
 		  flow_print(&flow->key, text), host->token,
 		  steering_reason_names[reason], host->published.id,
-		  host->health.retransmissions,
-		  balancer_age_ms(balancer, host->health.progress_ns),
 		  balancer_age_ms(balancer, flow->last_packet_ns),
 		  balancer->replica_status.revision,
 		  balancer_age_ms(balancer,
-				  balancer->replica_status.confirmed_ns));
+				  balancer->replica_status.confirmed_ns),
+		  evidence_print(balancer, host, evidence));
 }
 
 void log_limits_report(struct balancer *balancer)
