End open flows only on what probes showed within 2 s

What callers saw: a host is cut off for a few seconds and reachable again, then it drains.

Cause: the verdict "down" had no age. Only a response to a caller through the same balancer cleared it. A draining host gets no probe and no trial with a new flow, so the verdict stood until the host was freed, and the first retransmission of any flow ended it. The same holds for hosts of a drained zone, with a token conflict, without new flows, and for removed ones.

Change: the verdict has the time of the last failed probe and counts for 2 s, half of the shortest time after which a host counts as undisturbed. Timeouts count together, and the path must have been open, within the same time; before, one lost probe could renew a verdict whose second timeout dated from the cut. A caller that retransmits later has the host probed again, also one that was removed without draining, so callers of a host that has ended do not wait longer than for a probe.

--- a/include/steering/host_health.h
+++ b/include/steering/host_health.h
@@ -23,6 +23,11 @@
  * retransmits twice in it.
  */
 #define HEALTH_SILENCE_NS (3 * TRANSPORT_RETRANSMISSION_NS)
+/**
+ * What probes showed ends open flows only for this long: a host that was
+ * unreachable may be back, and not every host is probed again.
+ */
+#define HEALTH_DOWN_AGE_MAX_NS (2 * NS_PER_S)
 
 /** Number of responses after which the moving average is considered stable. */
 #define HEALTH_RESPONSES_MAX 8
@@ -39,9 +44,12 @@
 	int64_t unanswered_since_ns; /* first of the probes that timed out */
 	bool is_probing; /* a probe is pending */
 	bool is_refusing; /* the last probe was refused or timed out */
-	/* Probes showed that nothing listens or answers; until progress. */
-	bool is_down;
-	uint32_t probe_timeouts; /* in a row */
+	/*
+	 * When probes last showed that nothing listens or answers; 0 for never
+	 * since the last progress.
+	 */
+	int64_t down_ns;
+	uint32_t probe_timeouts; /* in a row, see HEALTH_DOWN_AGE_MAX_NS */
 	int64_t first_retransmission_ns; /* since the last progress, or 0 */
 	int64_t last_retransmission_ns;
 	uint32_t retransmissions; /* since the last progress */
@@ -80,6 +88,19 @@
 {
 	return health->retransmissions > 0 || health->is_handshake_overdue;
 }
+/** True if probes showed that the host is down, recently enough to count. */
+static inline bool health_is_down(const struct host_health *health,
+				  int64_t now_ns)
+{
+	return health->down_ns != 0 &&
+	       now_ns - health->down_ns <= HEALTH_DOWN_AGE_MAX_NS;
+}
+/** True if a caller has retransmitted a packet since the last probe began. */
+static inline bool
+health_has_new_waiting_caller(const struct host_health *health)
+{
+	return health->last_retransmission_ns > health->probed_ns;
+}
 /**
  * True if the host should be probed: a caller retransmitted a packet, or the
  * host has not responded for several times the usual interval. Also before a
@@ -98,7 +119,7 @@
 
 /**
  * Records the result of a probe, which may eject the host; true if it shows that
- * the host is down. A host that accepts a connection is up, but may still not
+ * the host is down, or still is. A host that accepts a connection is up, but may still not
  * respond on its flows. Timeouts count only if @is_path_open: otherwise the
  * network around this balancer may be the cause.
  */
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -170,7 +170,9 @@
 	json_member_integer(builder, "peer_flows", host->peer_flows);
 	json_member_boolean(builder, "is_silent",
 			    health_is_silent(&host->health));
-	json_member_boolean(builder, "is_down", host->health.is_down);
+	json_member_boolean(
+		builder, "is_down",
+		health_is_down(&host->health, clock_now_ns(balancer->clock)));
 	json_member_integer(builder, "misses", host->health.retransmissions);
 	json_member_integer(
 		builder, "progress_age_ms",
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -6,7 +6,7 @@
 
 /* "ADDRESS:PORT>ADDRESS:PORT" */
 #define FLOW_TEXT_BYTES (2 * (IP_ADDRESS_TEXT_BYTES + 6) + 2)
-/* Four keys with a number of up to 20 digits each. */
+/* Five keys with a number of up to 20 digits each. */
 #define EVIDENCE_TEXT_BYTES 160
 
 /* All hosts of a zone may be published at once; few change after that. */
@@ -116,11 +116,13 @@
 
 	g_snprintf(text, EVIDENCE_TEXT_BYTES,
 		   " misses=%u progress_age_ms=%" PRId64
-		   " probe_age_ms=%" PRId64 " refusing=%d",
+		   " probe_age_ms=%" PRId64 " refusing=%d"
+		   " down_age_ms=%" PRId64,
 		   health->retransmissions,
 		   balancer_age_ms(balancer, health->progress_ns),
 		   balancer_age_ms(balancer, health->probed_ns),
-		   health->is_refusing);
+		   health->is_refusing,
+		   balancer_age_ms(balancer, health->down_ns));
 	return text;
 }
 
--- a/steering/host_health.c
+++ b/steering/host_health.c
@@ -51,7 +51,7 @@
 
 	health->progress_ns = now_ns;
 	health->is_refusing = false;
-	health->is_down = false;
+	health->down_ns = 0;
 	health->probe_timeouts = 0;
 	health->first_retransmission_ns = 0;
 	health->retransmissions = 0;
@@ -109,7 +109,8 @@
 
 bool health_needs_probe(const struct host_health *health, int64_t now_ns)
 {
-	bool is_retry = health->probe_timeouts > 0;
+	bool is_known_down = health->down_ns != 0;
+	bool is_retry = health->probe_timeouts > 0 || is_known_down;
 	int64_t interval_ns =
 		(is_retry ? PROBE_RETRY_MS : PROBE_INTERVAL_MS) * NS_PER_MS;
 
@@ -119,16 +120,20 @@
 		return true;
 	if (health->probed_ns != 0 && now_ns - health->probed_ns < interval_ns)
 		return false;
-	/* Until it is known to be down, callers wait for a silent host. */
+	/* It may be back; callers that began to wait since do not know. */
+	if (is_known_down)
+		return health_has_new_waiting_caller(health);
 	if (health_is_silent(health))
-		return !health->is_down &&
-		       (is_retry || has_waiting_callers(health, now_ns));
+		return is_retry || has_waiting_callers(health, now_ns);
 	return is_retry || health_is_suspect(health) ||
 	       is_quiet(health, now_ns);
 }
 
+/* Timeouts long before this probe do not count together with it. */
 void health_probe_begin(struct host_health *health, int64_t now_ns)
 {
+	if (now_ns - health->probed_ns > HEALTH_DOWN_AGE_MAX_NS)
+		health->probe_timeouts = 0;
 	health->probed_ns = now_ns;
 	health->is_probing = true;
 }
@@ -193,16 +198,18 @@
 	    now_ns >= health->trial_ns)
 		health_begin_trial(health, now_ns);
 	/* A response to a caller after the start of the probe outweighs it. */
-	if (health->is_down || health->progress_ns > health->probed_ns)
+	if (health->progress_ns > health->probed_ns)
 		return false;
 	if (result != PROBE_RESULT_DOWN &&
 	    !is_unreachable(health, result, is_path_open, now_ns))
 		return false;
 	health_eject(health, now_ns);
-	health->is_down = result == PROBE_RESULT_DOWN ||
-			  has_waiting_callers(health, now_ns) ||
-			  health->probe_timeouts >= PROBE_TIMEOUTS_IDLE_MIN;
-	return health->is_down;
+	if (result != PROBE_RESULT_DOWN &&
+	    !has_waiting_callers(health, now_ns) &&
+	    health->probe_timeouts < PROBE_TIMEOUTS_IDLE_MIN)
+		return false;
+	health->down_ns = now_ns;
+	return true;
 }
 
 /*
--- a/steering/host_probes.c
+++ b/steering/host_probes.c
@@ -23,10 +23,23 @@
 	steering->options.probe(steering->options.context, host);
 }
 
+/*
+ * A host that was removed without draining is probed for callers only: it may
+ * have ended just now, and they would wait until its grace period is over.
+ */
+static bool is_probed_for_callers(const struct steering *steering,
+				  const struct known_host *host)
+{
+	return steering->options.probe && host->is_removed &&
+	       host_is_routed(host) && !host->published.is_draining &&
+	       health_has_new_waiting_caller(&host->health);
+}
+
 void probe_consider(struct steering *steering, struct known_host *host,
 		    int64_t now_ns)
 {
-	if (is_probed(steering, host) &&
+	if ((is_probed(steering, host) ||
+	     is_probed_for_callers(steering, host)) &&
 	    health_needs_probe(&host->health, now_ns))
 		probe_start(steering, host, now_ns);
 }
@@ -116,9 +129,11 @@
 }
 
 static void host_handle_down(struct steering *steering, struct known_host *host,
-			     enum probe_result result)
+			     enum probe_result result, bool was_down)
 {
-	steering->options.on_host_down(steering->options.context, host, result);
+	if (!was_down)
+		steering->options.on_host_down(steering->options.context, host,
+					       result);
 	/* An isolated balancer cannot judge the health of its hosts. */
 	if (!steering_is_isolated(steering))
 		host_flows_reset(steering, host, STEERING_HOST_SILENT);
@@ -141,37 +156,49 @@
 	return PROBE_RESULT_DOWN;
 }
 
-/* Start of the first probe since the host last answered one. */
+/* Start of the first of the probes that timed out in a row, with this one. */
 static int64_t unanswered_since_ns(const struct host_health *health)
 {
 	return health->probe_timeouts > 0 ? health->unanswered_since_ns
 					  : health->probed_ns;
 }
 
+/*
+ * While a host is down, probes time out for long; that the path was open before
+ * the last ones says nothing about them.
+ */
+static bool is_path_open(struct steering *steering,
+			 const struct host_health *health, int64_t now_ns)
+{
+	return probe_check_path(steering, MAX(unanswered_since_ns(health),
+					      now_ns - HEALTH_DOWN_AGE_MAX_NS));
+}
+
 void steering_probe_end(struct steering *steering, const char *id,
 			enum probe_result result)
 {
 	struct known_host *host = host_table_find(steering->hosts, id);
 	int64_t now_ns = steering_now(steering);
 	struct host_health *health;
-	bool is_path_open = false;
+	bool has_path = false;
 	bool was_silent;
+	bool was_down;
 	bool is_down;
 
 	if (!host)
 		return;
 	health = &host->health;
 	was_silent = health_is_silent(health);
+	was_down = health->down_ns != 0;
 	if (result != PROBE_RESULT_TIMEOUT && result != PROBE_RESULT_NONE)
 		path_record_response(&steering->path, health->probed_ns,
 				     now_ns);
 	if (result == PROBE_RESULT_TIMEOUT)
-		is_path_open =
-			probe_check_path(steering, unanswered_since_ns(health));
+		has_path = is_path_open(steering, health, now_ns);
 	result = result_interpret(steering, host, result);
-	is_down = health_probe_end(health, result, is_path_open, now_ns);
+	is_down = health_probe_end(health, result, has_path, now_ns);
 	if (!was_silent && health_is_silent(health))
 		ejection_report(steering, host);
 	if (is_down)
-		host_handle_down(steering, host, result);
+		host_handle_down(steering, host, result, was_down);
 }
--- a/steering/open_flow.c
+++ b/steering/open_flow.c
@@ -285,7 +285,7 @@
 	/* If a probe was accepted since, the host may be back. */
 	uint32_t retransmissions_min = health->is_refusing ? 1 : 2;
 
-	return health->is_down &&
+	return health_is_down(health, now_ns) &&
 	       flow->retransmissions >= retransmissions_min &&
 	       !steering_is_isolated(steering) &&
 	       is_path_open(steering, now_ns);
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -357,6 +357,7 @@
 				      const struct flow_key *key)
 {
 	const struct cached_flow *flow = flow_cache_find(steering->flows, key);
+	int64_t now_ns = steering_now(steering);
 
 	if (!steering->routing)
 		return STEERING_NOT_READY;
@@ -366,9 +367,9 @@
 		return STEERING_PLACED;
 	if (!flow->host)
 		return STEERING_TOKEN_UNKNOWN;
-	if (monitor_host_is_dead(flow->host, steering_now(steering)))
+	if (monitor_host_is_dead(flow->host, now_ns))
 		return STEERING_HOST_REMOVED;
-	if (flow->host->health.is_down)
+	if (health_is_down(&flow->host->health, now_ns))
 		return STEERING_HOST_SILENT;
 	return flow->state == FLOW_OPENING ? STEERING_PLACED_AGAIN
 					   : STEERING_TOKEN;
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -391,3 +391,54 @@
 		packet_fin(fixture, port, host->token, port + 101, 1000);
 	}
 }
+
+void fixture_exchange(struct fixture *fixture, const struct known_host *other,
+		      uint32_t wait_ms)
+{
+	static uint32_t sequence = 1000;
+
+	packet_data(fixture, 7, other->token, sequence, sequence);
+	fixture_advance(fixture, wait_ms);
+	sequence += 1000;
+	packet_ack(fixture, 7, other->token, sequence, sequence);
+}
+
+void fixture_answer_other_probes(struct fixture *fixture,
+				 const struct known_host *host)
+{
+	for (uint32_t number = 1; number <= 3; number++) {
+		const struct known_host *other = fixture_host(fixture, number);
+
+		if (other != host && other->health.is_probing)
+			steering_probe_end(fixture->steering,
+					   other->published.id,
+					   PROBE_RESULT_UP);
+	}
+}
+
+/* Passes 900 ms, in which @other may answer requests. */
+static void others_go_on(struct fixture *fixture,
+			 const struct known_host *other, uint32_t wait_ms)
+{
+	if (wait_ms == 0)
+		fixture_advance(fixture, 900);
+	for (uint32_t ms = 0; wait_ms > 0 && ms < 900; ms += wait_ms)
+		fixture_exchange(fixture, other, wait_ms);
+}
+
+void fixture_cut_off(struct fixture *fixture, const struct known_host *host,
+		     const struct fixture_others *others)
+{
+	const struct known_host *other =
+		fixture_host(fixture, host->published.target_id == 1 ? 2 : 1);
+
+	for (int probe = 0; probe < 2; probe++) {
+		steering_tick(fixture->steering);
+		ck_assert(host->health.is_probing);
+		others_go_on(fixture, other, others->wait_ms);
+		steering_probe_end(fixture->steering, host->published.id,
+				   PROBE_RESULT_TIMEOUT);
+		if (others->is_answering_probes)
+			fixture_answer_other_probes(fixture, host);
+	}
+}
--- a/tests/steering/fixture.h
+++ b/tests/steering/fixture.h
@@ -73,6 +73,20 @@
 /** Ticks, and passes on the result of the probe of @host that this starts. */
 void fixture_probe(struct fixture *fixture, const struct known_host *host,
 		   enum probe_result result);
+/** @other answers a request of another caller after @wait_ms. */
+void fixture_exchange(struct fixture *fixture, const struct known_host *other,
+		      uint32_t wait_ms);
+/** Hosts 1 to 3 but @host accept the probes of them that are pending. */
+void fixture_answer_other_probes(struct fixture *fixture,
+				 const struct known_host *host);
+/** What other hosts show while a host does not answer. */
+struct fixture_others {
+	uint32_t wait_ms; /* until requests are answered; 0: none are sent */
+	bool is_answering_probes;
+};
+/** Two probes of @host time out. */
+void fixture_cut_off(struct fixture *fixture, const struct known_host *host,
+		     const struct fixture_others *others);
 
 /** Packets of the caller at @port. */
 struct steering_decision packet_syn(struct fixture *fixture, uint16_t port,
--- a/tests/steering/test_foreign_entries.c
+++ b/tests/steering/test_foreign_entries.c
@@ -57,7 +57,7 @@
 	packet_data_retransmit(&fixture, 1, host->token, 2);
 	fixture_probe(&fixture, host, PROBE_RESULT_UP);
 	ck_assert_uint_eq(fixture.reset_count, 0);
-	ck_assert(!host->health.is_down);
+	ck_assert_int_eq(host->health.down_ns, 0);
 	fixture_route_to(&fixture, 2, both);
 	fixture_advance(&fixture, 2000);
 	packet_data_retransmit(&fixture, 1, host->token, 2);
--- a/tests/steering/test_host_probes.c
+++ b/tests/steering/test_host_probes.c
@@ -20,69 +20,13 @@
 	fixture_close(&fixture);
 }
 
-/* Another host answers each request after @wait_ms. */
-static void request_exchange(const struct known_host *other, uint32_t wait_ms)
-{
-	static uint32_t sequence = 1000;
-
-	packet_data(&fixture, 7, other->token, sequence, sequence);
-	fixture_advance(&fixture, wait_ms);
-	sequence += 1000;
-	packet_ack(&fixture, 7, other->token, sequence, sequence);
-}
-
-static void requests_exchange(const struct known_host *other, uint32_t wait_ms)
-{
-	for (uint32_t ms = 0; ms < 900; ms += wait_ms)
-		request_exchange(other, wait_ms);
-}
-
-/* What other hosts show while a host does not answer. */
-struct others {
-	uint32_t wait_ms; /* until requests are answered; 0: none are sent */
-	bool is_answering_probes;
-};
-
-static void other_probes_end(const struct known_host *host)
-{
-	for (uint32_t number = 1; number <= 3; number++) {
-		const struct known_host *other = fixture_host(&fixture, number);
-
-		if (other != host && other->health.is_probing)
-			steering_probe_end(fixture.steering,
-					   other->published.id,
-					   PROBE_RESULT_UP);
-	}
-}
-
-/* Two probes of @host time out. */
-static void host_cut_off(const struct known_host *host,
-			 const struct others *others)
-{
-	struct known_host *other =
-		fixture_host(&fixture, host->published.target_id == 1 ? 2 : 1);
-
-	for (int probe = 0; probe < 2; probe++) {
-		steering_tick(fixture.steering);
-		ck_assert(host->health.is_probing);
-		if (others->wait_ms > 0)
-			requests_exchange(other, others->wait_ms);
-		else
-			fixture_advance(&fixture, 900);
-		steering_probe_end(fixture.steering, host->published.id,
-				   PROBE_RESULT_TIMEOUT);
-		if (others->is_answering_probes)
-			other_probes_end(host);
-	}
-}
-
 /*
  * Guards against resets of open flows by a balancer whose own link is congested
  * or cut: its probes time out although the hosts serve.
  */
 START_TEST(probe_timeouts_count_only_on_an_open_path) {
 	static const struct {
-		struct others others;
+		struct fixture_others others;
 		uint32_t resets;
 	} cases[] = {
 		{ { 20, false }, 2 },  { { 190, false }, 2 },
@@ -93,9 +37,9 @@
 	struct known_host *host = flow_open(&fixture, 1);
 
 	packet_data_retransmit(&fixture, 2, host->token, 2);
-	host_cut_off(host, &cases[_i].others);
+	fixture_cut_off(&fixture, host, &cases[_i].others);
 	ck_assert_uint_eq(fixture.reset_count, cases[_i].resets);
-	ck_assert(host->health.is_down == (cases[_i].resets > 0));
+	ck_assert((host->health.down_ns != 0) == (cases[_i].resets > 0));
 }
 END_TEST
 
@@ -116,13 +60,13 @@
 	for (uint32_t timeouts = 1; timeouts <= 4; timeouts++) {
 		steering_tick(fixture.steering);
 		ck_assert(host->health.is_probing);
-		request_exchange(other, 50);
+		fixture_exchange(&fixture, other, 50);
 		fixture_advance(&fixture, 250);
 		steering_probe_end(fixture.steering, host->published.id,
 				   PROBE_RESULT_TIMEOUT);
 		/* It gets no new flows from the second one on. */
 		ck_assert(health_is_silent(&host->health) == (timeouts >= 2));
-		ck_assert(host->health.is_down == (timeouts == 4));
+		ck_assert((host->health.down_ns != 0) == (timeouts == 4));
 	}
 	ck_assert_uint_eq(fixture.reset_count, 1);
 }
@@ -147,15 +91,15 @@
 		{ false, false, 250, 9 },
 		{ true, false, 250, 9 },
 	};
-	const struct others others = { .wait_ms = 20 };
+	const struct fixture_others others = { .wait_ms = 20 };
 	struct known_host *host = fixture_host(&fixture, 1);
 	const struct known_host *other = fixture_host(&fixture, 2);
 	enum steering_verdict verdict = STEERING_FORWARD;
 	uint32_t copies = 0;
 
 	packet_data_retransmit(&fixture, 2, host->token, 2);
-	host_cut_off(host, &others);
-	ck_assert(host->health.is_down);
+	fixture_cut_off(&fixture, host, &others);
+	ck_assert(health_is_down(&host->health, fixture.clock.now_ns));
 	fixture_advance(&fixture, 600);
 	if (cases[_i].is_accepting)
 		fixture_probe(&fixture, host, PROBE_RESULT_UP);
@@ -166,7 +110,7 @@
 	fixture_advance(&fixture, 700);
 	packet_data(&fixture, 1, host->token, 500, 1000);
 	while (verdict == STEERING_FORWARD && copies < 9) {
-		request_exchange(other, cases[_i].others_wait_ms);
+		fixture_exchange(&fixture, other, cases[_i].others_wait_ms);
 		fixture_advance(&fixture, 250 - cases[_i].others_wait_ms);
 		verdict =
 			packet_data(&fixture, 1, host->token, 500, 1000).verdict;
@@ -308,7 +252,7 @@
 		}
 		steering_probe_end(fixture.steering, "i-01",
 				   cases[_i].results[i]);
-		other_probes_end(host);
+		fixture_answer_other_probes(&fixture, host);
 	}
 	ck_assert_uint_eq(fixture.reset_count, cases[_i].resets);
 }
