--- a/fuzz/fuzz_configuration.c
+++ b/fuzz/fuzz_configuration.c
@@ -19,7 +19,8 @@
 	struct store_item item;
 	bool accepted;
 
-	store_item_parse("op/config", text, length, 1, &item);
+	store_item_parse("op/config", text, length,
+			 (struct store_position){ .revision = 1 }, &item);
 	accepted = item.kind == STORE_ITEM_ROUTING;
 	store_item_clear(&item);
 	return accepted;
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -31,7 +31,8 @@
 {
 	struct store_item item;
 
-	store_item_parse(key, (const char *)data, length, 1, &item);
+	store_item_parse(key, (const char *)data, length,
+			 (struct store_position){ .revision = 1 }, &item);
 	if (item.kind == STORE_ITEM_ROUTING && !item.routing)
 		abort();
 	if (item.kind == STORE_ITEM_ZONE_DRAIN && item.zone[0] == '\0')
@@ -61,7 +62,7 @@
 	item_check("servers/i-1f", data, length);
 	item_check("op/evacuate/a", data, length);
 	zone_check(data, length);
-	store_response_free(store_response_parse(body, &error));
+	store_response_free(store_response_parse(body, 1, &error));
 	g_bytes_unref(body);
 	return 0;
 }
--- a/http/http_client.c
+++ b/http/http_client.c
@@ -69,6 +69,15 @@
 	g_free(request);
 }
 
+static const char *header_find(const struct http_request *request)
+{
+	if (!request->get.header_name)
+		return NULL;
+	return soup_message_headers_get_one(
+		soup_message_get_response_headers(request->message),
+		request->get.header_name);
+}
+
 static void request_end(struct http_request *request, enum http_outcome outcome,
 			const char *reason)
 {
@@ -84,8 +93,10 @@
 		response.outcome = HTTP_TIMEOUT;
 		response.reason = "no response within the timeout";
 	}
-	if (response.outcome != HTTP_TIMEOUT)
+	if (response.outcome != HTTP_TIMEOUT) {
 		response.status = soup_message_get_status(message);
+		response.header = header_find(request);
+	}
 	if (response.outcome == HTTP_OK)
 		response.body = g_byte_array_free_to_bytes(
 			g_steal_pointer(&request->body));
--- a/include/http/http_client.h
+++ b/include/http/http_client.h
@@ -23,6 +23,8 @@
 	GBytes *body; /* HTTP_OK; valid until the callback returns */
 	const char *reason; /* of any other outcome */
 	unsigned int status; /* HTTP status; 0 if no response arrived */
+	/* Value of the header that the request names; NULL if there is none. */
+	const char *header;
 };
 
 struct http_get {
@@ -31,6 +33,7 @@
 	uint32_t timeout_ms; /* for the whole request, but see pause_max_ms */
 	/* A response goes on after the timeout while its parts follow in this. */
 	uint32_t pause_max_ms;
+	const char *header_name; /* header to be reported; NULL for none */
 	void (*on_response)(void *context,
 			    const struct http_response *response);
 	void *context;
--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -15,7 +15,7 @@
 
 enum store_item_kind {
 	STORE_ITEM_HOST,
-	STORE_ITEM_HOST_REMOVED, /* only id and revision of @host are set */
+	STORE_ITEM_HOST_REMOVED, /* only id and position of @host are set */
 	STORE_ITEM_ROUTING,
 	STORE_ITEM_ZONE_DRAIN, /* the operator drains @zone */
 	STORE_ITEM_ZONE_DRAIN_REMOVED, /* the request was withdrawn */
@@ -29,8 +29,8 @@
 struct store_item {
 	enum store_item_kind kind;
 	char *key;
-	uint64_t revision;
-	/* Of an entry that names no host, only id and revision are valid. */
+	struct store_position position;
+	/* Of an entry that names no host, only id and position are valid. */
 	struct host_announcement host;
 	struct routing *routing; /* owned by the item */
 	/*
@@ -43,20 +43,24 @@
 
 struct store_response {
 	GArray *items; /* struct store_item */
-	uint64_t revision; /* of the store when it responded */
+	struct store_position position; /* of the store when it responded */
 	bool has_more; /* the next page starts after the last key */
 	char *last_key; /* NULL if there are no items */
 };
 
-/** Returns NULL and fills @error (ERROR_PLATFORM) if the body is malformed. */
-struct store_response *store_response_parse(GBytes *body, struct error *error);
+/**
+ * Parses a response of the store in this era. Returns NULL and fills @error
+ * (ERROR_PLATFORM) if the body is malformed.
+ */
+struct store_response *store_response_parse(GBytes *body, uint64_t era,
+					    struct error *error);
 void store_response_free(struct store_response *response);
 /**
  * Parses the value that the operator or a host wrote at @key. Always fills
  * @item; an invalid value makes it STORE_ITEM_IGNORED with a problem.
  */
 void store_item_parse(const char *key, const char *value, size_t length,
-		      uint64_t revision, struct store_item *item);
+		      struct store_position position, struct store_item *item);
 void store_item_clear(struct store_item *item);
 
 #endif
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -11,6 +11,7 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/store_position.h"
 #include "platform/items.h"
 
 struct store;
@@ -26,8 +27,8 @@
 	 */
 	uint32_t response_timeout_ms;
 	uint32_t batch_ms; /* pause after changes, to batch later ones */
-	/** A complete listing as of @revision starts. */
-	void (*on_listing_begin)(void *context, uint64_t revision);
+	/** A complete listing as of @position starts. */
+	void (*on_listing_begin)(void *context, struct store_position position);
 	void (*on_listing_end)(void *context);
 	/**
 	 * The first page of a listing was received, and @has_more tells
@@ -37,17 +38,29 @@
 	/** An item was listed, or has changed. */
 	void (*on_item)(void *context, const struct store_item *item);
 	/**
-	 * All changes up to @revision have been reported, and there were no
+	 * All changes up to @position have been reported, and there were no
 	 * others at @confirmed_ns.
 	 */
-	void (*on_revision_confirmed)(void *context, uint64_t revision,
+	void (*on_position_confirmed)(void *context,
+				      struct store_position position,
 				      int64_t confirmed_ns);
 	/**
-	 * The changes after @revision cannot be had, for @reason; a listing
+	 * The changes after @position cannot be had, for @reason; a listing
 	 * follows.
 	 */
 	void (*on_changes_missed)(void *context, const char *reason,
-				  uint64_t revision);
+				  struct store_position position);
+	/**
+	 * The store came back from a copy: its responses are of @era now, and
+	 * the last one was of @position. A listing follows.
+	 */
+	void (*on_era_changed)(void *context, struct store_position position,
+			       uint64_t era);
+	/**
+	 * Responses do not tell their era any more, so that of the last one,
+	 * @era, is assumed; @value is the header, "" if there is none.
+	 */
+	void (*on_era_missing)(void *context, const char *value, uint64_t era);
 	/**
 	 * The first request ended, requests started to fail, or they succeed
 	 * again.
@@ -63,8 +76,8 @@
 void store_connect(struct store *store);
 /** Starts or stops the client; a stopped client sends no requests. */
 void store_set_following(struct store *store, bool is_following);
-/** Continues with the changes after @revision instead of a listing. */
-void store_set_revision(struct store *store, uint64_t revision);
+/** Continues with the changes after @position instead of a listing. */
+void store_set_position(struct store *store, struct store_position position);
 uint64_t store_request_count(const struct store *store);
 /** Time from a listing request to its response, in microseconds. */
 const struct histogram *store_response_times(const struct store *store);
--- a/include/sharing/members.h
+++ b/include/sharing/members.h
@@ -49,6 +49,8 @@
 	 * not requested before.
 	 */
 	int64_t extended_routes_from_ns;
+	/* Its messages carry the era, so it understands those that do. */
+	bool knows_eras;
 };
 
 struct members;
@@ -83,6 +85,10 @@
 				 int64_t age_max_ns, int64_t now_ns);
 /** Member of the own zone with the most recent replica; 0 if there is none. */
 uint32_t members_pick_most_recent(struct members *members);
+/** Whether the messages of the member carry the era of their positions. */
+void members_set_knows_eras(struct members *members, uint32_t address,
+			    bool knows_eras);
+bool members_knows_eras(struct members *members, uint32_t address);
 /** Drops entries older than MEMBER_AGE_MAX_MS. */
 void members_expire(struct members *members, int64_t now_ns);
 /**
--- a/include/sharing/sharing.h
+++ b/include/sharing/sharing.h
@@ -18,6 +18,7 @@
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/store_position.h"
 #include "sharing/members.h"
 #include "sharing/sharing_message.h"
 #include "steering/steering.h"
@@ -29,7 +30,7 @@
 	 * All changes up to it were applied, those of the routes included. The
 	 * store is watched from it, so it must not be raised before they are.
 	 */
-	uint64_t revision;
+	struct store_position position;
 	/* Version of the routes that belong to the listing; 0 for none. */
 	uint64_t listed_routes_version;
 	int64_t confirmed_ns; /* last known to be up to date; 0 for never */
@@ -39,11 +40,11 @@
 	 */
 	bool has_zone_drains;
 	/*
-	 * All changes of drained zones up to it were applied; 0 before
-	 * @has_zone_drains. It may be lower than @revision, as messages about
+	 * All changes of drained zones up to it were applied; none before
+	 * @has_zone_drains. It may be before @position, as messages about
 	 * drained zones are sent apart from updates.
 	 */
-	uint64_t zone_drains_revision;
+	struct store_position zone_drains_position;
 	const char *source; /* of the last change: "none", "store" or "peer" */
 };
 
@@ -144,12 +145,12 @@
  */
 bool sharing_knows_zone_drains(const struct sharing *sharing);
 /**
- * Revision from which a balancer that becomes store reader can watch the store;
- * 0 if it has to list.
+ * Position from which a balancer that becomes store reader can watch the store;
+ * none if it has to list.
  */
-uint64_t sharing_watch_revision(const struct sharing *sharing);
+struct store_position sharing_watch_position(const struct sharing *sharing);
 /**
- * True if a store reader may continue with the changes after the revision of the
+ * True if a store reader may continue with the changes after the position of the
  * replica. Otherwise it needs a listing: nothing is known yet, or the routes are
  * partial, and what they lack would be published again with the next version
  * only.
--- a/include/sharing/sharing_message.h
+++ b/include/sharing/sharing_message.h
@@ -77,7 +77,7 @@
 
 /** A host that was added, changed or removed. */
 struct host_update {
-	bool is_removed; /* only id and revision of @host are set */
+	bool is_removed; /* only id and position of @host are set */
 	struct host_announcement host;
 };
 
@@ -85,6 +85,12 @@
 	enum sharing_message_kind kind;
 	uint32_t zone; /* of the sender */
 	uint16_t capacity; /* of the sender */
+	/*
+	 * The message carries the era of its positions. Members of the
+	 * previous version send none (it is 0 then), and do not understand a
+	 * SHARING_LOOKUP_RESPONSE or SHARING_ZONE_DRAINS that has one.
+	 */
+	bool has_era;
 
 	/* SHARING_GOSSIP_REQUEST, SHARING_GOSSIP_RESPONSE */
 	uint32_t replica_age_ms; /* of the sender */
@@ -94,11 +100,11 @@
 	/*
 	 * SHARING_POLL: state of the sender. SHARING_UPDATE: state of the
 	 * receiver after applying the message. SHARING_LOOKUP_RESPONSE:
-	 * @revision at which the host was removed, 0 if it was not.
-	 * SHARING_ZONE_DRAINS: if complete, it has all changes of drains up to
-	 * @revision.
+	 * position at which the host was removed; the revision is 0 if it was
+	 * not. SHARING_ZONE_DRAINS: if complete, it has all changes of drains
+	 * up to @position. All positions in a message are of one era.
 	 */
-	uint64_t revision;
+	struct store_position position;
 	uint64_t routes_version; /* 0 for none */
 
 	/* SHARING_POLL, SHARING_UPDATE */
@@ -158,7 +164,8 @@
 	/* SHARING_ZONE_DRAINS: state of the sender */
 	bool is_complete; /* a listing of the store is part of it */
 	bool is_reply; /* no reply is expected */
-	uint64_t listed_revision; /* see zone_drains_listed_revision() */
+	/* See zone_drains_listed_position(). */
+	struct store_position listed_position;
 	GArray *drains; /* struct zone_drain, by zone; NULL for none */
 };
 
--- a/include/sharing/zone_drains_codec.h
+++ b/include/sharing/zone_drains_codec.h
@@ -19,7 +19,7 @@
 		      struct sharing_message *message);
 /**
  * Digest of the state that the message carries, never 0. It tells whether two
- * balancers know the same; the message's revision is not part of it.
+ * balancers of one era know the same; the message's position is not part of it.
  */
 uint64_t zone_drains_digest(const struct sharing_message *message);
 
--- a/include/steering/host_table.h
+++ b/include/steering/host_table.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "common/name.h"
+#include "common/store_position.h"
 #include "packet/packet.h"
 #include "steering/host_health.h"
 #include "steering/removal_log.h"
@@ -31,7 +32,7 @@
 	uint64_t started_ms; /* Unix time */
 	uint32_t slow_start_ms; /* remaining slow start */
 	bool is_draining;
-	uint64_t revision; /* of the store */
+	struct store_position position;
 };
 
 struct known_host {
@@ -47,9 +48,20 @@
 	/* Another host of a routed service has the token: no new flows. */
 	bool has_token_conflict;
 	bool is_zone_drained; /* its zone is drained: no new flows */
+	/*
+	 * The listing after a restore of the store does not contain it: it is
+	 * removed then unless it is published again. 0 otherwise.
+	 */
+	int64_t unlisted_until_ns;
+	/*
+	 * That listing has it as ready, but it was leaving or gone before: no
+	 * new flows until then. 0 otherwise.
+	 */
+	int64_t withheld_until_ns;
 	int64_t removed_since_ns;
 	int64_t slow_start_until_ns; /* end of the slow start */
-	uint64_t removed_revision; /* 0 while published */
+	/* Of the removal, or of the listing that does not contain it. */
+	struct store_position removed_position;
 	uint32_t open_flows; /* of this balancer */
 	uint32_t peer_flows; /* of other balancers in the zone */
 	uint32_t peer_flows_pending; /* partial sum of the next peer_flows */
@@ -97,7 +109,7 @@
 void host_table_destroy(struct host_table *table);
 
 /**
- * Adds or updates a host. Ignores revisions older than the known one, and
+ * Adds or updates a host. Ignores announcements older than the known one, and
  * unknown hosts that were published before a complete listing without them.
  */
 void host_table_put(struct host_table *table,
@@ -105,27 +117,28 @@
 		    int64_t now_ns);
 /**
  * Adds an unknown host that may still serve open flows. It counts as removed if
- * @removed_revision is not 0, or if a complete listing did not contain it.
+ * @removed_position is not none, or if a complete listing did not contain it.
  */
 void host_table_restore(struct host_table *table,
 			const struct host_announcement *announcement,
-			uint64_t removed_revision, int64_t now_ns);
+			struct store_position removed_position, int64_t now_ns);
 /**
- * The host was no longer published at @revision. The removal of an unknown host
+ * The host was no longer published at @position. The removal of an unknown host
  * is recorded, too: its announcement may come late, and members that have the
  * host ask this balancer for the changes.
  */
 void host_table_remove(struct host_table *table, const char *id,
-		       uint64_t revision, int64_t now_ns);
+		       struct store_position position, int64_t now_ns);
 /**
  * A complete listing that is received in pages. Listings of several sources may
- * overlap in time; each records the hosts that it contained.
+ * overlap in time; each records the hosts that it contained. One of a new era
+ * has no effect until it is complete.
  */
 struct host_listing;
 
-/** Starts a listing of what was published at @revision. */
-struct host_listing *host_listing_create(uint64_t revision);
-uint64_t host_listing_revision(const struct host_listing *listing);
+/** Starts a listing of what was published at @position. */
+struct host_listing *host_listing_create(struct store_position position);
+struct store_position host_listing_position(const struct host_listing *listing);
 /** Accepts NULL. Removes no hosts. */
 void host_listing_destroy(struct host_listing *listing);
 /** Like host_table_put(), for a host of @listing if that is not NULL. */
@@ -139,10 +152,18 @@
 void host_listing_keep(struct host_listing *listing, const char *id);
 /**
  * The listing is complete: removes the hosts that it did not contain, unless
- * they were published after its revision.
+ * they were published after its position. In a new era they stay in use for
+ * STORE_REWRITE_NS, and hosts that were leaving or gone before get no new flow
+ * for as long.
  */
 void host_listing_finish(const struct host_listing *listing,
 			 struct host_table *table, int64_t now_ns);
+/** Ends what a listing of a new era put off; to be called with each tick. */
+void host_table_end_waits(struct host_table *table, int64_t now_ns);
+/** Number of hosts that such a listing did not contain, until they are removed. */
+uint32_t host_table_unlisted_count(const struct host_table *table);
+/** Number of hosts that get no new flow because of it. */
+uint32_t host_table_withheld_count(const struct host_table *table);
 /** Frees hosts without flows that were removed at or before @before_ns. */
 void host_table_expire(struct host_table *table, int64_t before_ns);
 
@@ -164,6 +185,13 @@
 	return host->service_hosts != NULL;
 }
 
+/** False if it gets no new flow, however it responds. */
+static inline bool host_takes_flows(const struct known_host *host)
+{
+	return !host->is_removed && !host->published.is_draining &&
+	       !host->is_zone_drained && host->withheld_until_ns == 0;
+}
+
 /** The routes have changed. */
 void host_table_update_routes(struct host_table *table);
 /** Number of published entries that are not routed. */
@@ -175,17 +203,19 @@
 const GPtrArray *host_table_service(const struct host_table *table,
 				    const char *service);
 /**
- * All changes after this revision are known; 0 before the first listing. Hosts
- * that were removed earlier may have been freed.
+ * All changes after this position are known; none before the first listing.
+ * Hosts that were removed earlier may have been freed.
  */
-uint64_t host_table_oldest_revision(const struct host_table *table);
+struct store_position
+host_table_oldest_position(const struct host_table *table);
 /** Changes when a host is added, changed, removed or freed. */
 uint64_t host_table_generation(const struct host_table *table);
-/** Revision of the latest known change. */
-uint64_t host_table_newest_revision(const struct host_table *table);
+/** Position of the latest known change. */
+struct store_position
+host_table_newest_position(const struct host_table *table);
 /**
- * The published host that follows @id in the order of ids; NULL after the last
- * one.
+ * The published host that follows @id in the order of ids, without those that
+ * the last listing did not contain; NULL after the last one.
  */
 struct known_host *host_table_next(struct host_table *table, const char *id);
 /** Number of published hosts. */
--- a/parsleyladder/balancer_admin.c
+++ b/parsleyladder/balancer_admin.c
@@ -16,6 +16,9 @@
 	[GAUGE_ANNOUNCED_ROUTES_VERSION] = "announced_routes_version",
 	[GAUGE_ROUTES_PARTIAL] = "routes_partial",
 	[GAUGE_REVISION] = "revision",
+	[GAUGE_STORE_ERA] = "store_era",
+	[GAUGE_UNLISTED_HOSTS] = "unlisted_hosts",
+	[GAUGE_WITHHELD_HOSTS] = "withheld_hosts",
 	[GAUGE_REPLICA_AGE_MS] = "knowledge_age_ms",
 	[GAUGE_HANDSHAKE_US] = "handshake_us",
 	[GAUGE_HANDSHAKE_LIMIT_US] = "handshake_limit_us",
@@ -33,6 +36,7 @@
 	[TOTAL_LOG_DROPPED_LINES] = "log_dropped_lines",
 	[TOTAL_LOG_SUPPRESSED_LINES] = "log_left_out_lines",
 	[TOTAL_STORE_CALLS] = "store_calls",
+	[TOTAL_STORE_RESTORES] = "store_restores",
 	[TOTAL_EVICTIONS] = "evictions",
 	[TOTAL_UNKNOWN_SENDERS] = "strangers",
 	[TOTAL_ADMIN_REFUSED] = "admin_refused_connections",
@@ -76,7 +80,12 @@
 	gauges[GAUGE_ANNOUNCED_ROUTES_VERSION] =
 		sharing_announced_routes_version(balancer->sharing);
 	gauges[GAUGE_ROUTES_PARTIAL] = balancer_routes_are_partial(balancer);
-	gauges[GAUGE_REVISION] = replica_status->revision;
+	gauges[GAUGE_REVISION] = replica_status->position.revision;
+	gauges[GAUGE_STORE_ERA] = replica_status->position.era;
+	gauges[GAUGE_UNLISTED_HOSTS] =
+		host_table_unlisted_count(steering_hosts(balancer->steering));
+	gauges[GAUGE_WITHHELD_HOSTS] =
+		host_table_withheld_count(steering_hosts(balancer->steering));
 	gauges[GAUGE_REPLICA_AGE_MS] = (uint64_t)MAX(
 		balancer_age_ms(balancer, replica_status->confirmed_ns), 0);
 	gauges[GAUGE_HANDSHAKE_US] =
@@ -165,7 +174,8 @@
 	json_member_boolean(builder, "is_zone_drained", host->is_zone_drained);
 	json_member_integer(builder, "slots", published->slots);
 	json_member_integer(builder, "born_ms", (int64_t)published->started_ms);
-	json_member_integer(builder, "revision", (int64_t)published->revision);
+	json_member_integer(builder, "revision",
+			    (int64_t)published->position.revision);
 	json_member_integer(builder, "open_flows", host->open_flows);
 	json_member_integer(builder, "peer_flows", host->peer_flows);
 	json_member_boolean(builder, "is_silent",
@@ -230,7 +240,9 @@
 	json_member_boolean(builder, "is_complete",
 			    replica_status->is_complete);
 	json_member_integer(builder, "revision",
-			    (int64_t)replica_status->revision);
+			    (int64_t)replica_status->position.revision);
+	json_member_integer(builder, "era",
+			    (int64_t)replica_status->position.era);
 	json_member_integer(
 		builder, "age_ms",
 		balancer_age_ms(balancer, replica_status->confirmed_ns));
--- a/parsleyladder/balancer_drains.c
+++ b/parsleyladder/balancer_drains.c
@@ -25,7 +25,7 @@
 		 !settings_has_zone(balancer->settings, item->zone))
 		drain_ignore(balancer, item,
 			     "zone is not among the availability_zones");
-	else if (!zone_drains_set(drains, item->zone, item->revision, is_active,
+	else if (!zone_drains_set(drains, item->zone, item->position, is_active,
 				  clock_now_ns(balancer->clock)))
 		drain_ignore(balancer, item, "too many zones");
 }
@@ -46,11 +46,12 @@
 		histogram_record(&balancer->zone_drain_delay_ms,
 				 (uint64_t)delay_ms);
 	log_event(LOG_LEVEL_WARNING,
-		  drain->is_active ? "zone_drained" : "zone_drain_withdrawn",
-		  "zone=\"%s\" revision=%" PRIu64 " source=%s delay_ms=%" PRId64
-		  " flows=%u",
-		  zone, drain->revision, balancer->replica_status.source,
-		  delay_ms,
+		  zone_drain_is_in_force(drain) ? "zone_drained"
+						: "zone_drain_withdrawn",
+		  "zone=\"%s\" revision=%" PRIu64 " era=%" PRIu64
+		  " source=%s delay_ms=%" PRId64 " flows=%u",
+		  zone, drain->position.revision, drain->position.era,
+		  balancer->replica_status.source, delay_ms,
 		  host_table_zone_flows(steering_hosts(balancer->steering),
 					drain->zone));
 	g_free(zone);
@@ -61,8 +62,10 @@
 {
 	json_builder_begin_object(builder);
 	json_member_string(builder, "zone", drain->zone);
-	json_member_boolean(builder, "is_active", drain->is_active);
-	json_member_integer(builder, "revision", (int64_t)drain->revision);
+	json_member_boolean(builder, "is_active",
+			    zone_drain_is_in_force(drain));
+	json_member_integer(builder, "revision",
+			    (int64_t)drain->position.revision);
 	json_member_integer(builder, "age_ms",
 			    balancer_age_ms(balancer, drain->changed_ns));
 	json_member_integer(
@@ -85,10 +88,13 @@
 	json_builder_begin_object(builder);
 	json_member_boolean(builder, "is_complete",
 			    replica_status->has_zone_drains);
-	json_member_integer(builder, "revision",
-			    (int64_t)replica_status->zone_drains_revision);
-	json_member_integer(builder, "listed_revision",
-			    (int64_t)zone_drains_listed_revision(drains));
+	json_member_integer(
+		builder, "revision",
+		(int64_t)replica_status->zone_drains_position.revision);
+	json_member_integer(
+		builder, "listed_revision",
+		(int64_t)zone_drains_listed_position(drains).revision);
+	json_member_integer(builder, "era", (int64_t)zone_drains_era(drains));
 	json_builder_set_member_name(builder, "zones");
 	json_builder_begin_array(builder);
 	for (size_t i = 0; i < count; i++)
@@ -106,7 +112,7 @@
 	entries = zone_drains_entries(steering_zone_drains(balancer->steering),
 				      &count);
 	for (size_t i = 0; i < count; i++) {
-		if (entries[i].is_active)
+		if (zone_drain_is_in_force(&entries[i]))
 			flows += host_table_zone_flows(
 				steering_hosts(balancer->steering),
 				entries[i].zone);
--- a/parsleyladder/balancer_log.c
+++ b/parsleyladder/balancer_log.c
@@ -159,9 +159,9 @@
 		  choice_name(decision), host ? host->published.id : "none",
 		  host ? host->published.zone : "none",
 		  host ? host->open_flows : 0,
-		  host ? host->published.revision : 0,
+		  host ? host->published.position.revision : 0,
 		  balancer_routes_version(balancer),
-		  balancer->replica_status.revision,
+		  balancer->replica_status.position.revision,
 		  balancer_age_ms(balancer,
 				  balancer->replica_status.confirmed_ns),
 		  evidence);
@@ -182,7 +182,7 @@
 		  flow_print(&flow->key, text), host->token,
 		  steering_reason_names[reason], host->published.id,
 		  balancer_age_ms(balancer, flow->last_packet_ns),
-		  balancer->replica_status.revision,
+		  balancer->replica_status.position.revision,
 		  balancer_age_ms(balancer,
 				  balancer->replica_status.confirmed_ns),
 		  evidence_print(balancer, host, evidence));
@@ -218,7 +218,7 @@
 		  published->port, published->slots,
 		  published->is_draining ? "draining" : "ready",
 		  published->slow_start_ms, published->started_ms,
-		  published->revision, balancer->replica_status.source,
+		  published->position.revision, balancer->replica_status.source,
 		  host_is_routed(host));
 }
 
@@ -249,8 +249,9 @@
 			  "host=%s revision=%" PRIu64 " service=\"%s\" "
 			  "known_service=%s known_revision=%" PRIu64
 			  " reason=\"no route leads to the service\"",
-			  host->published.id, announcement->revision, service,
-			  host->published.service, host->published.revision);
+			  host->published.id, announcement->position.revision,
+			  service, host->published.service,
+			  host->published.position.revision);
 	g_free(service);
 }
 
@@ -264,7 +265,7 @@
 	key = g_strescape(item->key, NULL);
 	log_event(LOG_LEVEL_WARNING, event_names[EVENT_ENTRY_IGNORED],
 		  "key=\"%s\" revision=%" PRIu64 " reason=\"%s\"", key,
-		  item->revision, reason);
+		  item->position.revision, reason);
 	g_free(key);
 }
 
@@ -282,7 +283,7 @@
 		  " source=%s",
 		  host->published.id, host->published.service,
 		  host->published.is_draining ? "draining" : "ready",
-		  host->open_flows, host->removed_revision,
+		  host->open_flows, host->removed_position.revision,
 		  balancer->replica_status.source);
 }
 
@@ -317,8 +318,9 @@
 		  host->published.id,
 		  ip_address_print(&published->address, address),
 		  published->port, host->open_flows, host->published.started_ms,
-		  host->published.revision, published->id, published->service,
-		  published->started_ms, published->revision,
+		  host->published.position.revision, published->id,
+		  published->service, published->started_ms,
+		  published->position.revision,
 		  balancer_age_ms(balancer, host->health.progress_ns));
 }
 
--- a/parsleyladder/balancer_private.h
+++ b/parsleyladder/balancer_private.h
@@ -65,6 +65,9 @@
 	GAUGE_ANNOUNCED_ROUTES_VERSION,
 	GAUGE_ROUTES_PARTIAL,
 	GAUGE_REVISION,
+	GAUGE_STORE_ERA,
+	GAUGE_UNLISTED_HOSTS, /* not in the restored store, removed soon */
+	GAUGE_WITHHELD_HOSTS, /* in it as ready, but left before: no flows */
 	GAUGE_REPLICA_AGE_MS,
 	GAUGE_HANDSHAKE_US, /* smoothed mean of the handshakes of new flows */
 	GAUGE_HANDSHAKE_LIMIT_US, /* longer ones are overdue; 0: not known */
@@ -83,6 +86,7 @@
 	TOTAL_LOG_DROPPED_LINES,
 	TOTAL_LOG_SUPPRESSED_LINES, /* by the rate limits */
 	TOTAL_STORE_CALLS,
+	TOTAL_STORE_RESTORES, /* of which this balancer has a listing */
 	TOTAL_EVICTIONS, /* of the flow cache */
 	TOTAL_UNKNOWN_SENDERS, /* datagrams not from the sharing port */
 	TOTAL_ADMIN_REFUSED, /* connections to the administration API */
@@ -118,6 +122,7 @@
 	struct sharing *sharing;
 	struct edge *sharing_edge; /* datagrams of other balancers */
 	struct replica_status replica_status;
+	uint64_t era; /* of the replica, as last logged */
 	struct host_listing *store_listing; /* NULL if none is in progress */
 	int64_t store_unreachable_since_ns; /* 0 while the store answers */
 	bool is_synced; /* hosts and routes were complete once */
@@ -200,6 +205,8 @@
 void balancer_sync_check(struct balancer *balancer);
 /** Updates the readiness that the fabric sees; logs a change. */
 void balancer_ready_update(struct balancer *balancer);
+/** Logs that a listing of a new era of the store is in force. */
+void balancer_era_check(struct balancer *balancer);
 /** Creates the store client, which does not watch the store yet. */
 void balancer_store_open(struct balancer *balancer);
 void balancer_store_close(struct balancer *balancer);
--- a/parsleyladder/balancer_ready.c
+++ b/parsleyladder/balancer_ready.c
@@ -59,7 +59,7 @@
 		  " zone_drains=%d drained_zones=%u",
 		  host_table_count(steering_hosts(balancer->steering)),
 		  steering_routing(balancer->steering)->version,
-		  balancer->replica_status.revision,
+		  balancer->replica_status.position.revision,
 		  balancer->replica_status.source,
 		  balancer_age_ms(balancer,
 				  balancer->replica_status.confirmed_ns),
--- a/parsleyladder/balancer_sharing.c
+++ b/parsleyladder/balancer_sharing.c
@@ -52,6 +52,7 @@
 	}
 	sharing_handle_datagram(balancer->sharing, ip_address_v4(&address),
 				data, length);
+	balancer_era_check(balancer);
 	balancer_sync_check(balancer);
 }
 
@@ -70,7 +71,7 @@
 		  "revision=%" PRIu64,
 		  version, balancer_routes_version(balancer),
 		  sharing_address_print(address, text),
-		  balancer->replica_status.revision);
+		  balancer->replica_status.position.revision);
 }
 
 static void routes_dropped(void *context, uint64_t version, uint32_t chunks,
@@ -82,7 +83,7 @@
 		  "version=%" PRIu64 " held=%" PRIu64
 		  " chunks=%u reason=%s revision=%" PRIu64,
 		  version, balancer_routes_version(balancer), chunks, reason,
-		  balancer->replica_status.revision);
+		  balancer->replica_status.position.revision);
 }
 
 static void store_reader_changed(void *context, bool is_store_reader,
@@ -90,17 +91,19 @@
 {
 	struct balancer *balancer = context;
 	const struct replica_status *replica_status = &balancer->replica_status;
-	uint64_t watch_revision = sharing_watch_revision(balancer->sharing);
+	struct store_position watched =
+		sharing_watch_position(balancer->sharing);
 	int64_t age_ns =
 		clock_now_ns(balancer->clock) - replica_status->confirmed_ns;
 
 	log_event(LOG_LEVEL_INFO, "reading_changed",
-		  "reading=%d reason=%s revision=%" PRIu64 " age_ms=%" PRId64
-		  " routes_version=%" PRIu64,
-		  is_store_reader, reason, replica_status->revision,
-		  age_ns / NS_PER_MS, balancer_routes_version(balancer));
-	if (is_store_reader && watch_revision != 0)
-		store_set_revision(balancer->store, watch_revision);
+		  "reading=%d reason=%s revision=%" PRIu64 " era=%" PRIu64
+		  " age_ms=%" PRId64 " routes_version=%" PRIu64,
+		  is_store_reader, reason, replica_status->position.revision,
+		  replica_status->position.era, age_ns / NS_PER_MS,
+		  balancer_routes_version(balancer));
+	if (is_store_reader && watched.revision != 0)
+		store_set_position(balancer->store, watched);
 	store_set_following(balancer->store, is_store_reader);
 	/* An interrupted listing starts again from its first page. */
 	if (!is_store_reader)
@@ -116,7 +119,7 @@
 		  "leader=%s reason=%s revision=%" PRIu64
 		  " routes_version=%" PRIu64,
 		  sharing_address_print(leader, text), reason,
-		  balancer->replica_status.revision,
+		  balancer->replica_status.position.revision,
 		  balancer_routes_version(balancer));
 }
 
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -9,14 +9,14 @@
 /* Hosts often change together; after this pause one request gets them all. */
 #define WATCH_BATCH_MS 100
 
-static void listing_begin(void *context, uint64_t revision)
+static void listing_begin(void *context, struct store_position position)
 {
 	struct balancer *balancer = context;
 
 	host_listing_destroy(balancer->store_listing);
-	balancer->store_listing = host_listing_create(revision);
+	balancer->store_listing = host_listing_create(position);
 	zone_drains_listing_begin(steering_zone_drains(balancer->steering),
-				  revision);
+				  position);
 }
 
 static void first_page_handle(void *context, bool has_more)
@@ -74,7 +74,8 @@
 		  "revision=%" PRIu64 " source=%s delay_ms=%" PRId64
 		  " limits=%zu partial=%d",
 		  routing->version, routing->rule_count,
-		  routing->idle_timeout_ms, balancer->replica_status.revision,
+		  routing->idle_timeout_ms,
+		  balancer->replica_status.position.revision,
 		  balancer->replica_status.source, delay_ms,
 		  routing->limit_count, routing->is_partial);
 }
@@ -100,7 +101,7 @@
 				 now_ns);
 		break;
 	case STORE_ITEM_HOST_REMOVED:
-		host_table_remove(hosts, item->host.id, item->revision, now_ns);
+		host_table_remove(hosts, item->host.id, item->position, now_ns);
 		break;
 	case STORE_ITEM_ROUTING:
 		balancer_routing_apply(balancer, item->routing);
@@ -118,18 +119,21 @@
 	}
 }
 
-static void revision_confirmed(void *context, uint64_t revision,
+static void position_confirmed(void *context, struct store_position position,
 			       int64_t confirmed_ns)
 {
 	struct balancer *balancer = context;
 	struct replica_status *replica_status = &balancer->replica_status;
-	bool is_newer = revision > replica_status->revision;
+	bool is_newer =
+		store_position_is_before(replica_status->position, position);
 
-	replica_status->revision = MAX(replica_status->revision, revision);
-	replica_status->zone_drains_revision =
-		MAX(replica_status->zone_drains_revision, revision);
+	replica_status->position =
+		store_position_max(replica_status->position, position);
+	replica_status->zone_drains_position = store_position_max(
+		replica_status->zone_drains_position, position);
 	replica_status->confirmed_ns =
 		MAX(replica_status->confirmed_ns, confirmed_ns);
+	balancer_era_check(balancer);
 	balancer_sync_check(balancer);
 	if (!is_newer)
 		return;
@@ -137,17 +141,68 @@
 	edge_flush(balancer->sharing_edge);
 }
 
-static void changes_missed(void *context, const char *reason, uint64_t revision)
+static void changes_missed(void *context, const char *reason,
+			   struct store_position position)
 {
 	const struct balancer *balancer = context;
 
 	log_event(LOG_LEVEL_WARNING, "changes_missed",
 		  "reason=\"%s\" revision=%" PRIu64 " age_ms=%" PRId64, reason,
-		  revision,
+		  position.revision,
 		  balancer_age_ms(balancer,
 				  balancer->replica_status.confirmed_ns));
 }
 
+static void era_changed(void *context, struct store_position position,
+			uint64_t era)
+{
+	const struct balancer *balancer = context;
+
+	log_event(LOG_LEVEL_WARNING, "store_restored",
+		  "era=%" PRIu64 " former_era=%" PRIu64 " revision=%" PRIu64
+		  " age_ms=%" PRId64,
+		  era, position.era, position.revision,
+		  balancer_age_ms(balancer,
+				  balancer->replica_status.confirmed_ns));
+}
+
+void balancer_era_check(struct balancer *balancer)
+{
+	const struct replica_status *replica_status = &balancer->replica_status;
+	struct host_table *hosts = steering_hosts(balancer->steering);
+	uint64_t former = balancer->era;
+
+	if (replica_status->position.era == former)
+		return;
+	balancer->era = replica_status->position.era;
+	/* The first listing replaces nothing. */
+	if (!balancer->is_synced)
+		return;
+	balancer->totals[TOTAL_STORE_RESTORES]++;
+	log_event(LOG_LEVEL_WARNING, "era_listed",
+		  "era=%" PRIu64 " former_era=%" PRIu64 " revision=%" PRIu64
+		  " source=%s hosts=%u unlisted=%u withheld=%u "
+		  "drained_zones=%u routes_version=%" PRIu64 " age_ms=%" PRId64,
+		  balancer->era, former, replica_status->position.revision,
+		  replica_status->source, host_table_count(hosts),
+		  host_table_unlisted_count(hosts),
+		  host_table_withheld_count(hosts),
+		  zone_drains_active_count(
+			  steering_zone_drains(balancer->steering)),
+		  balancer_routes_version(balancer),
+		  balancer_age_ms(balancer, replica_status->confirmed_ns));
+}
+
+static void era_missing(void *context, const char *value, uint64_t era)
+{
+	char *text = g_strescape(value, NULL);
+
+	(void)context;
+	log_event(LOG_LEVEL_WARNING, "store_era_missing",
+		  "value=\"%s\" assumed_era=%" PRIu64, text, era);
+	g_free(text);
+}
+
 static void store_reachability_changed(void *context, bool is_reachable,
 				       const char *reason)
 {
@@ -163,7 +218,7 @@
 		  is_reachable ? "store_regained" : "store_lost",
 		  "reason=\"%s\" away_ms=%" PRId64 " revision=%" PRIu64, text,
 		  unreachable_ns / NS_PER_MS,
-		  balancer->replica_status.revision);
+		  balancer->replica_status.position.revision);
 	g_free(text);
 }
 
@@ -180,8 +235,10 @@
 		.on_listing_end = listing_end,
 		.on_first_page = first_page_handle,
 		.on_item = store_item_apply,
-		.on_revision_confirmed = revision_confirmed,
+		.on_position_confirmed = position_confirmed,
 		.on_changes_missed = changes_missed,
+		.on_era_changed = era_changed,
+		.on_era_missing = era_missing,
 		.on_reachability_changed = store_reachability_changed,
 		.context = balancer,
 	};
--- a/sharing/members.c
+++ b/sharing/members.c
@@ -143,6 +143,22 @@
 		member->confirmed_ns = now_ns - replica_age_ms * NS_PER_MS;
 }
 
+void members_set_knows_eras(struct members *members, uint32_t address,
+			    bool knows_eras)
+{
+	struct member *member = members_find(members, address);
+
+	if (member)
+		member->knows_eras = knows_eras;
+}
+
+bool members_knows_eras(struct members *members, uint32_t address)
+{
+	const struct member *member = members_find(members, address);
+
+	return member && member->knows_eras;
+}
+
 static bool is_other(const struct members *members, const struct member *member)
 {
 	return member->address != members->self.address;
--- a/sharing/replica.c
+++ b/sharing/replica.c
@@ -12,7 +12,7 @@
 
 /* A change of a host that is passed on. */
 struct host_change {
-	uint64_t revision;
+	struct store_position position;
 	const char *id;
 	const struct known_host *host; /* NULL if it was never known */
 	const struct host_announcement *announcement; /* NULL if it was removed */
@@ -27,22 +27,23 @@
 {
 	const struct host_change *a = left;
 	const struct host_change *b = right;
+	int order = store_position_compare(a->position, b->position);
 	uint64_t a_digest;
 	uint64_t b_digest;
 
-	if (a->revision != b->revision)
-		return a->revision < b->revision ? -1 : 1;
+	if (order != 0)
+		return order;
 	a_digest = id_digest(a->id);
 	b_digest = id_digest(b->id);
 	return a_digest < b_digest ? -1 : a_digest > b_digest;
 }
 
-/* Cursors have the order of the changes. */
+/* Cursors have the order of the changes, which are of one era. */
 static void cursor_print(const struct host_change *change,
 			 char cursor[HOST_ID_BYTES_MAX + 1])
 {
 	g_snprintf(cursor, HOST_ID_BYTES_MAX + 1, "%016" PRIx64 "%016" PRIx64,
-		   change->revision, id_digest(change->id));
+		   change->position.revision, id_digest(change->id));
 }
 
 static void update_fill(const struct host_change *change, int64_t now_ns,
@@ -56,7 +57,7 @@
 	if (change->announcement)
 		update->host = *change->announcement;
 	g_strlcpy(update->host.id, change->id, sizeof(update->host.id));
-	update->host.revision = change->revision;
+	update->host.position = change->position;
 	if (!change->announcement || change->announcement != &host->published)
 		return;
 	slow_ns = host->slow_start_until_ns - now_ns;
@@ -79,43 +80,46 @@
 	return true;
 }
 
-/* Revisions after @after, up to @last. */
-struct revision_range {
-	uint64_t after;
-	uint64_t last;
-};
-
-static void change_add(GArray *changes, const struct revision_range *range,
+static void change_add(GArray *changes, const struct position_range *range,
 		       const struct host_change *change)
 {
-	if (change->revision > range->after && change->revision <= range->last)
+	if (store_position_is_before(range->after, change->position) &&
+	    !store_position_is_before(range->last, change->position))
 		g_array_append_val(changes, *change);
 }
 
+/* A host that the listing of a new era does not contain is removed for others. */
+static bool is_withdrawn(const struct known_host *host)
+{
+	return host->is_removed || host->unlisted_until_ns != 0;
+}
+
 static void host_changes_add(GArray *changes,
-			     const struct revision_range *range,
+			     const struct position_range *range,
 			     const struct known_host *host)
 {
 	const struct host_change published = {
-		.revision = host->is_removed ? host->removed_revision
-					     : host->published.revision,
+		.position = is_withdrawn(host) ? host->removed_position
+					       : host->published.position,
 		.id = host->published.id,
 		.host = host,
-		.announcement = host->is_removed ? NULL : &host->published,
+		.announcement = is_withdrawn(host) ? NULL : &host->published,
 	};
-	const struct host_change deferred = {
-		.revision = host->deferred ? host->deferred->revision : 0,
+	struct host_change deferred = {
 		.id = host->published.id,
 		.host = host,
 		.announcement = host->deferred,
 	};
 
 	change_add(changes, range, &published);
+	if (!host->deferred)
+		return;
+	deferred.position = host->deferred->position;
 	change_add(changes, range, &deferred);
 }
 
 static void unknown_removals_add(GArray *changes,
-				 const struct revision_range *range,
+				 const struct position_range *range,
 				 GHashTable *removals)
 {
 	GHashTableIter iterator;
@@ -126,7 +130,7 @@
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		const struct host_removal *removal = value;
 		const struct host_change change = {
-			.revision = removal->revision,
+			.position = removal->position,
 			.id = key,
 		};
 
@@ -135,18 +139,19 @@
 }
 
 /*
- * A member has all changes up to its revision only, so later ones that it knows
+ * A member has all changes up to its position only, so later ones that it knows
  * are left out: others may come between them.
  */
 static GArray *changes_find(struct host_table *table,
-			    const struct revision_range *range)
+			    const struct position_range *range)
 {
 	GArray *changes = g_array_new(FALSE, FALSE, sizeof(struct host_change));
 	GHashTableIter iterator;
 	gpointer value;
 
 	/* Most polls find no change and must not scan all hosts. */
-	if (range->after >= host_table_newest_revision(table))
+	if (!store_position_is_before(range->after,
+				      host_table_newest_position(table)))
 		return changes;
 	g_hash_table_iter_init(&iterator, host_table_all(table));
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
@@ -172,13 +177,16 @@
 }
 
 /*
- * The revision up to which no change from @first on is left out. A listing shows
- * that a host was removed, but not when, so the revision of a removal may be
- * higher than the one of the store.
+ * The position up to which no change from @first on is left out. A listing shows
+ * that a host was removed, but not when, so the position of a removal may be
+ * after the one in the store.
  */
-static uint64_t complete_revision(const GArray *changes, guint first,
-				  const struct revision_range *range)
+static struct store_position
+complete_position(const GArray *changes, guint first,
+		  const struct position_range *range)
 {
+	struct store_position position;
+
 	if (first == changes->len)
 		return range->last;
 	for (guint i = first; i < changes->len; i++) {
@@ -188,16 +196,17 @@
 		if (!change->announcement)
 			return range->after;
 	}
-	return g_array_index(changes, struct host_change, first).revision - 1;
+	position = g_array_index(changes, struct host_change, first).position;
+	position.revision--;
+	return position;
 }
 
-void replica_fill_changes(struct host_table *table, uint64_t after,
-			  const char *cursor, uint64_t revision, int64_t now_ns,
+void replica_fill_changes(struct host_table *table,
+			  const struct position_range *range,
+			  const char *cursor, int64_t now_ns,
 			  struct sharing_message *message)
 {
-	const struct revision_range range = { .after = after,
-					      .last = revision };
-	GArray *changes = changes_find(table, &range);
+	GArray *changes = changes_find(table, range);
 	guint count = changes_skip(changes, cursor);
 	size_t bytes = 0;
 
@@ -212,8 +221,8 @@
 		cursor_print(change, message->cursor);
 	}
 	message->has_more = count < changes->len;
-	message->revision = complete_revision(changes, count, &range);
-	message->base_revision = after;
+	message->position = complete_position(changes, count, range);
+	message->base_revision = range->after.revision;
 	g_array_unref(changes);
 }
 
@@ -222,7 +231,7 @@
 			       size_t *bytes, struct sharing_message *message)
 {
 	struct host_change change = {
-		.revision = host->published.revision,
+		.position = host->published.position,
 		.id = host->published.id,
 		.host = host,
 		.announcement = &host->published,
@@ -232,13 +241,13 @@
 		return false;
 	if (!host->deferred)
 		return true;
-	change.revision = host->deferred->revision;
+	change.position = host->deferred->position;
 	change.announcement = host->deferred;
 	return change_append(&change, now_ns, PAGE_BYTES_MAX, bytes, message);
 }
 
 void replica_fill_listing(struct host_table *table, const char *cursor,
-			  uint64_t revision, int64_t now_ns,
+			  struct store_position position, int64_t now_ns,
 			  struct sharing_message *message)
 {
 	const struct known_host *host = host_table_next(table, cursor);
@@ -246,7 +255,7 @@
 
 	message->hosts = g_array_new(FALSE, FALSE, sizeof(struct host_update));
 	message->is_listing = true;
-	message->revision = revision;
+	message->position = position;
 	while (host && listed_host_append(host, now_ns, &bytes, message)) {
 		g_strlcpy(message->cursor, host->published.id,
 			  sizeof(message->cursor));
@@ -264,7 +273,7 @@
 
 		if (update->is_removed)
 			host_table_remove(table, update->host.id,
-					  update->host.revision, now_ns);
+					  update->host.position, now_ns);
 		else
 			host_listing_put(listing, table, &update->host, now_ns);
 	}
--- a/sharing/sharing.c
+++ b/sharing/sharing.c
@@ -184,12 +184,19 @@
 		.replica_age_ms = MEMBER_REPLICA_AGE_NONE,
 	};
 	members_merge(sharing->members, &sender, now_ns);
+	if (message.has_era || message.kind == SHARING_POLL ||
+	    message.kind == SHARING_UPDATE)
+		members_set_knows_eras(sharing->members, address,
+				       message.has_era);
 	switch (message.kind) {
 	case SHARING_GOSSIP_REQUEST:
 	case SHARING_GOSSIP_RESPONSE:
 		gossip_handle(sharing, address, &message, now_ns);
 		break;
 	case SHARING_POLL:
+		/* A member of the previous version knows of no other era. */
+		if (!message.has_era)
+			message.position.era = sharing_era(sharing);
 		serve_handle_poll(sharing, address, &message, now_ns);
 		zone_reports_handle_poll(sharing, address, now_ns);
 		break;
--- a/sharing/sharing_drains.c
+++ b/sharing/sharing_drains.c
@@ -21,6 +21,7 @@
  * follower that becomes store reader watches from there.
  */
 #define REVISION_INTERVAL_NS (5 * NS_PER_S)
+
 static void state_fill(const struct sharing *sharing,
 		       struct sharing_message *message)
 {
@@ -33,9 +34,13 @@
 
 	entries = zone_drains_entries(drains, &count);
 	message->kind = SHARING_ZONE_DRAINS;
-	message->is_complete = replica_status->has_zone_drains;
-	message->revision = replica_status->zone_drains_revision;
-	message->listed_revision = zone_drains_listed_revision(drains);
+	message->position.era = zone_drains_era(drains);
+	message->listed_position = zone_drains_listed_position(drains);
+	/* It is of a former era until what is known of the new one is complete. */
+	if (replica_status->zone_drains_position.era == message->position.era) {
+		message->is_complete = replica_status->has_zone_drains;
+		message->position = replica_status->zone_drains_position;
+	}
 	message->drains = g_array_new(FALSE, FALSE, sizeof(struct zone_drain));
 	if (count > 0)
 		g_array_append_vals(message->drains, entries, (guint)count);
@@ -45,6 +50,7 @@
 		       struct sharing_message *state)
 {
 	sharing->counters[SHARING_DRAINS_SENT]++;
+	state->has_era = members_knows_eras(sharing->members, address);
 	sharing_send(sharing, address, state);
 }
 
@@ -65,9 +71,11 @@
 	uint64_t digest = zone_drains_digest(state);
 	int64_t since_ns = now_ns - follower->sent_ns;
 
-	if (follower->digest == digest)
+	if (follower->digest == digest &&
+	    follower->position.era == state->position.era)
 		return state->is_complete &&
-		       follower->revision < state->revision &&
+		       store_position_is_before(follower->position,
+						state->position) &&
 		       since_ns >= REVISION_INTERVAL_NS;
 	return follower->sent_digest != digest || follower->digest != 0 ||
 	       follower->unanswered < UNANSWERED_MAX ||
@@ -112,21 +120,46 @@
 static void state_merge(struct sharing *sharing,
 			const struct sharing_message *message, int64_t now_ns)
 {
+	struct zone_drains *drains =
+		steering_zone_drains(sharing->options.steering);
+	const struct zone_drains_state state = {
+		.era = message->position.era,
+		.entries = (const struct zone_drain *)message->drains->data,
+		.count = message->drains->len,
+		.listed_position = message->listed_position,
+	};
 	struct replica_status *replica_status = sharing->options.replica_status;
 	const char *source = replica_status->source;
+	uint64_t era = zone_drains_era(drains);
 
+	/* In a new era, only a complete state says which zones are drained. */
+	if (state.era < era || (state.era > era && !message->is_complete))
+		return;
 	/* The source of the hosts and routes stays the same. */
 	replica_status->source = "peer";
-	zone_drains_merge(steering_zone_drains(sharing->options.steering),
-			  (const struct zone_drain *)message->drains->data,
-			  message->drains->len, message->listed_revision,
-			  now_ns);
+	zone_drains_merge(drains, &state, now_ns);
 	replica_status->source = source;
 	if (!message->is_complete)
 		return;
 	replica_status->has_zone_drains = true;
-	replica_status->zone_drains_revision =
-		MAX(replica_status->zone_drains_revision, message->revision);
+	replica_status->zone_drains_position = store_position_max(
+		replica_status->zone_drains_position, message->position);
+}
+
+/*
+ * A member of the previous version does not tell the era of its state, which
+ * this balancer sent it.
+ */
+static void follower_record(struct sharing *sharing,
+			    struct follower_drains *follower,
+			    const struct sharing_message *message)
+{
+	follower->digest = zone_drains_digest(message);
+	follower->position = message->position;
+	if (!message->has_era)
+		follower->position.era = zone_drains_era(
+			steering_zone_drains(sharing->options.steering));
+	follower->unanswered = 0;
 }
 
 static void reply_send(struct sharing *sharing, uint32_t address)
@@ -147,11 +180,8 @@
 
 	sharing->counters[SHARING_DRAINS_RECEIVED]++;
 	state_merge(sharing, message, now_ns);
-	if (follower) {
-		follower->drains.digest = zone_drains_digest(message);
-		follower->drains.revision = message->revision;
-		follower->drains.unanswered = 0;
-	}
+	if (follower)
+		follower_record(sharing, &follower->drains, message);
 	/* Two members may poll each other; replies to replies never end. */
 	if (!message->is_reply && is_polled)
 		reply_send(sharing, address);
@@ -169,13 +199,13 @@
 		sharing->complete_since_ns = now_ns;
 }
 
-uint64_t sharing_watch_revision(const struct sharing *sharing)
+struct store_position sharing_watch_position(const struct sharing *sharing)
 {
 	const struct replica_status *replica_status =
 		sharing->options.replica_status;
 
 	if (!sharing_can_watch_store(sharing))
-		return 0;
-	return MIN(replica_status->revision,
-		   replica_status->zone_drains_revision);
+		return STORE_POSITION_NONE;
+	return store_position_min(replica_status->position,
+				  replica_status->zone_drains_position);
 }
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -84,14 +84,17 @@
 	}
 }
 
-/* True if @update leaves out no change after those that the replica has. */
+/*
+ * True if @update leaves out no change after those that the replica has. Both
+ * are of one era.
+ */
 static bool is_contiguous(const struct sharing *sharing, uint32_t address,
 			  const struct sharing_message *update)
 {
 	const char *cursor = changes_cursor(sharing, address);
 
 	return update->base_revision <=
-		       sharing->options.replica_status->revision ||
+		       sharing->options.replica_status->position.revision ||
 	       (*cursor != '\0' && update->base_revision == page_id(cursor));
 }
 
@@ -107,7 +110,7 @@
 	if (strcmp(cursor, changes_cursor(sharing, address)) <= 0)
 		return false;
 	position->source = address;
-	position->revision = sharing->options.replica_status->revision;
+	position->after = sharing->options.replica_status->position;
 	g_strlcpy(position->cursor, cursor, sizeof(position->cursor));
 	return true;
 }
@@ -128,8 +131,8 @@
 	replica_apply(steering_hosts(sharing->options.steering), NULL, update,
 		      now_ns);
 	if (has_routes)
-		replica_status->revision =
-			MAX(replica_status->revision, update->revision);
+		replica_status->position = store_position_max(
+			replica_status->position, update->position);
 	if (update->has_more)
 		return changes_continue(sharing, address, update->cursor);
 	if (has_routes)
@@ -146,7 +149,8 @@
 
 	return replica_status->is_complete && update->chunk == 0 &&
 	       !update->has_more &&
-	       replica_status->revision >= update->revision &&
+	       !store_position_is_before(replica_status->position,
+					 update->position) &&
 	       routes_version(sharing) >= update->routes_version;
 }
 
@@ -192,6 +196,26 @@
 		alternate_poll(sharing, now_ns);
 }
 
+/*
+ * The era of the member is another one. What an earlier one gave out as news may
+ * be lost, and the member may have missed what came since, so it is skipped
+ * until it has listed.
+ */
+static void other_era_handle(struct sharing *sharing, uint32_t address,
+			     bool is_leader,
+			     const struct sharing_message *update,
+			     int64_t now_ns)
+{
+	if (update->position.era < sharing_era(sharing)) {
+		sharing->counters[SHARING_UPDATES_REJECTED]++;
+		members_mark_unresponsive(sharing->members, address, now_ns);
+		return;
+	}
+	sharing->counters[SHARING_UPDATES_APPLIED]++;
+	if (listing_handle_new_era(sharing, address, update, now_ns))
+		poll_again(sharing, is_leader, now_ns);
+}
+
 void follow_handle_update(struct sharing *sharing, uint32_t address,
 			  const struct sharing_message *update, int64_t now_ns)
 {
@@ -214,10 +238,16 @@
 	if (is_alternate)
 		alternate_handle_response(sharing, now_ns);
 	if (update->update_age_ms == UINT32_MAX) {
+		listing_give_up(sharing, address);
 		if (is_alternate && !sharing_is_synced(sharing))
 			alternate_replace(sharing, now_ns);
 		return;
 	}
+	if (replica_status->is_complete &&
+	    update->position.era != sharing_era(sharing)) {
+		other_era_handle(sharing, address, is_leader, update, now_ns);
+		return;
+	}
 	if (update->needs_listing && replica_status->is_complete) {
 		/*
 		 * The member started recently; others have older changes. What
--- a/sharing/sharing_listing.c
+++ b/sharing/sharing_listing.c
@@ -8,7 +8,7 @@
 {
 	struct sharing_message poll = {
 		.kind = SHARING_POLL,
-		.revision = sharing->options.replica_status->revision,
+		.position = sharing->options.replica_status->position,
 		.routes_version = routes_base_version(sharing, address),
 	};
 
@@ -68,10 +68,14 @@
 	g_clear_pointer(&sharing->listing, host_listing_destroy);
 }
 
-static void listing_begin(struct sharing *sharing, uint32_t source)
+/* @era: 0 for the first listing, of which any will do. */
+static void listing_begin(struct sharing *sharing, uint32_t source,
+			  uint64_t era, int64_t now_ns)
 {
 	listing_clear(sharing);
 	sharing->listing_source = source;
+	sharing->listing_era = era;
+	sharing->listing_progress_ns = now_ns;
 	sharing->counters[SHARING_LISTINGS_STARTED]++;
 }
 
@@ -93,7 +97,7 @@
 	if (selected == 0)
 		return;
 	if (!sharing->options.replica_status->is_complete)
-		listing_begin(sharing, selected);
+		listing_begin(sharing, selected, 0, now_ns);
 	alternate_set(sharing, selected, now_ns);
 }
 
@@ -134,10 +138,22 @@
 	alternate_replace(sharing, now_ns);
 }
 
-void listing_tick(struct sharing *sharing, int64_t now_ns)
+/*
+ * A listing of a new era is given up if its source no longer responds; the next
+ * update of that era starts another one.
+ */
+static bool is_listing_over(const struct sharing *sharing, int64_t now_ns)
 {
+	if (!sharing->options.replica_status->is_complete)
+		return false;
 	/* The listing from the store may have been applied first. */
-	if (sharing->options.replica_status->is_complete)
+	return sharing->listing_era <= sharing_era(sharing) ||
+	       now_ns - sharing->listing_progress_ns >= LISTING_TIMEOUT_NS;
+}
+
+void listing_tick(struct sharing *sharing, int64_t now_ns)
+{
+	if (sharing->listing_source != 0 && is_listing_over(sharing, now_ns))
 		listing_clear(sharing);
 	alternate_check(sharing, now_ns);
 	if (alternate_is_active(sharing, now_ns) &&
@@ -154,29 +170,70 @@
 	sharing->next_alternate_poll_ns = now_ns + PAGE_RETRY_NS;
 }
 
-bool listing_handle_update(struct sharing *sharing, uint32_t address,
+/* The last page was received. */
+static void listing_finish(struct sharing *sharing,
 			   const struct sharing_message *update, int64_t now_ns)
 {
-	struct host_table *table = steering_hosts(sharing->options.steering);
 	struct replica_status *replica_status = sharing->options.replica_status;
+	bool is_first = !replica_status->is_complete;
+
+	/* In a new era, the routes come first: their version is not in it. */
+	if (is_first || routes_version(sharing) >= update->routes_version) {
+		host_listing_finish(sharing->listing,
+				    steering_hosts(sharing->options.steering),
+				    now_ns);
+		replica_status->position = store_position_max(
+			replica_status->position,
+			host_listing_position(sharing->listing));
+		replica_status->is_complete = true;
+	}
+	if (is_first)
+		replica_status->listed_routes_version = update->routes_version;
+	listing_clear(sharing);
+}
 
+bool listing_handle_update(struct sharing *sharing, uint32_t address,
+			   const struct sharing_message *update, int64_t now_ns)
+{
 	/* A late response to an earlier poll carries another page. */
 	if (address != sharing->listing_source ||
 	    update->base_revision != page_id(sharing->cursor))
 		return false;
+	if (sharing->listing && host_listing_position(sharing->listing).era !=
+					update->position.era) {
+		listing_begin(sharing, address, sharing->listing_era, now_ns);
+		return true;
+	}
 	if (!sharing->listing)
-		sharing->listing = host_listing_create(update->revision);
-	replica_apply(table, sharing->listing, update, now_ns);
-	if (update->has_more) {
+		sharing->listing = host_listing_create(update->position);
+	sharing->listing_progress_ns = now_ns;
+	replica_apply(steering_hosts(sharing->options.steering),
+		      sharing->listing, update, now_ns);
+	if (update->has_more)
 		g_strlcpy(sharing->cursor, update->cursor,
 			  sizeof(sharing->cursor));
-		return true;
-	}
-	host_listing_finish(sharing->listing, table, now_ns);
-	replica_status->revision = MAX(replica_status->revision,
-				       host_listing_revision(sharing->listing));
-	replica_status->listed_routes_version = update->routes_version;
-	replica_status->is_complete = true;
-	listing_clear(sharing);
+	else
+		listing_finish(sharing, update, now_ns);
 	return true;
 }
+
+bool listing_handle_new_era(struct sharing *sharing, uint32_t address,
+			    const struct sharing_message *update,
+			    int64_t now_ns)
+{
+	if (update->is_listing)
+		return listing_handle_update(sharing, address, update, now_ns);
+	if (routes_version(sharing) < update->routes_version)
+		return routes_handle_chunk(sharing, address, update, now_ns);
+	if (sharing->listing_source != 0)
+		return false;
+	listing_begin(sharing, address, update->position.era, now_ns);
+	return true;
+}
+
+void listing_give_up(struct sharing *sharing, uint32_t address)
+{
+	if (sharing->options.replica_status->is_complete &&
+	    address == sharing->listing_source)
+		listing_clear(sharing);
+}
--- a/sharing/sharing_lookup.c
+++ b/sharing/sharing_lookup.c
@@ -25,6 +25,21 @@
 	}
 }
 
+/*
+ * Most members that ask have never sent this balancer their era, so they get the
+ * response in both forms. The second one changes nothing then.
+ */
+static void response_send(struct sharing *sharing, uint32_t address,
+			  struct sharing_message *response)
+{
+	response->has_era = true;
+	sharing_send(sharing, address, response);
+	if (members_knows_eras(sharing->members, address))
+		return;
+	response->has_era = false;
+	sharing_send(sharing, address, response);
+}
+
 void lookup_handle_request(struct sharing *sharing, uint32_t address,
 			   uint32_t token)
 {
@@ -36,10 +51,12 @@
 	if (!host)
 		return;
 	update.host = host->published;
-	response.revision = host->is_removed ? host->removed_revision : 0;
+	if (host->is_removed || host->unlisted_until_ns != 0)
+		response.position = host->removed_position;
+	response.position.era = sharing_era(sharing);
 	response.hosts = g_array_new(FALSE, FALSE, sizeof(struct host_update));
 	g_array_append_val(response.hosts, update);
-	sharing_send(sharing, address, &response);
+	response_send(sharing, address, &response);
 	sharing_message_clear(&response);
 }
 
@@ -48,6 +65,7 @@
 			    int64_t now_ns)
 {
 	struct host_table *table = steering_hosts(sharing->options.steering);
+	struct store_position removed = STORE_POSITION_NONE;
 	const struct host_update *update;
 
 	if (!message->hosts || message->hosts->len != 1)
@@ -57,5 +75,7 @@
 		return;
 	sharing->counters[SHARING_LOOKUP_RESPONSES]++;
 	sharing->options.replica_status->source = "peer";
-	host_table_restore(table, &update->host, message->revision, now_ns);
+	if (message->position.revision != 0)
+		removed = message->position;
+	host_table_restore(table, &update->host, removed, now_ns);
 }
--- a/sharing/sharing_message.c
+++ b/sharing/sharing_message.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "sharing/byte_codec.h"
+#include "sharing/cursor_codec.h"
 #include "sharing/field_codec.h"
 #include "sharing/host_speeds_codec.h"
 #include "sharing/zone_drains_codec.h"
@@ -103,27 +104,6 @@
 	}
 }
 
-static void cursor_write(struct field_writer *writer,
-			 const struct sharing_message *message)
-{
-	field_write_bytes(writer, message->cursor, strlen(message->cursor));
-}
-
-static void cursor_read(struct array_reader *reader,
-			struct sharing_message *message)
-{
-	size_t length;
-	const uint8_t *data = field_read_bytes(reader, &length);
-
-	if (length > HOST_ID_BYTES_MAX) {
-		reader->has_error = true;
-		return;
-	}
-	if (length > 0)
-		memcpy(message->cursor, data, length);
-	message->cursor[length] = '\0';
-}
-
 static GByteArray *host_encode(const struct host_update *update)
 {
 	const struct host_announcement *host = &update->host;
@@ -133,7 +113,7 @@
 	field_writer_init(&writer, bytes,
 			  update->is_removed ? REMOVED_FIELDS : HOST_FIELDS);
 	field_write_text(&writer, host->id);
-	field_write_uint(&writer, host->revision);
+	field_write_uint(&writer, host->position.revision);
 	if (update->is_removed) {
 		field_write_uint(&writer, 1);
 		return bytes;
@@ -173,7 +153,7 @@
 	if (!array_reader_init(&reader, data, length) ||
 	    !text_read(&reader, host->id, HOST_ID_BYTES_MAX))
 		return false;
-	host->revision = field_read_uint(&reader, G_MAXINT64);
+	host->position.revision = field_read_uint(&reader, G_MAXINT64);
 	if (reader.count == REMOVED_FIELDS) {
 		update->is_removed = field_read_uint(&reader, 1) == 1;
 		return array_reader_is_done(&reader) && update->is_removed;
@@ -238,7 +218,7 @@
 static void poll_write(struct field_writer *writer,
 		       const struct sharing_message *message)
 {
-	field_write_uint(writer, message->revision);
+	field_write_uint(writer, message->position.revision);
 	field_write_uint(writer, message->routes_version);
 	field_write_uint(writer, message->is_listing);
 	cursor_write(writer, message);
@@ -249,7 +229,7 @@
 static void poll_read(struct array_reader *reader,
 		      struct sharing_message *message)
 {
-	message->revision = field_read_uint(reader, G_MAXINT64);
+	message->position.revision = field_read_uint(reader, G_MAXINT64);
 	message->routes_version = field_read_uint(reader, G_MAXINT64);
 	message->is_listing = field_read_uint(reader, 1) == 1;
 	cursor_read(reader, message);
@@ -265,7 +245,7 @@
 		(message->has_more ? UPDATE_HAS_MORE : 0) |
 		(message->needs_listing ? UPDATE_NEEDS_LISTING : 0);
 
-	field_write_uint(writer, message->revision);
+	field_write_uint(writer, message->position.revision);
 	field_write_uint(writer, message->routes_version);
 	field_write_uint(writer, flags);
 	cursor_write(writer, message);
@@ -283,7 +263,7 @@
 {
 	uint64_t flags;
 
-	message->revision = field_read_uint(reader, G_MAXINT64);
+	message->position.revision = field_read_uint(reader, G_MAXINT64);
 	message->routes_version = field_read_uint(reader, G_MAXINT64);
 	flags = field_read_uint(reader, UPDATE_FLAGS);
 	message->is_listing = flags & UPDATE_IS_LISTING;
@@ -314,14 +294,14 @@
 static void lookup_response_write(struct field_writer *writer,
 				  const struct sharing_message *message)
 {
-	field_write_uint(writer, message->revision);
+	field_write_uint(writer, message->position.revision);
 	hosts_write(writer, message->hosts);
 }
 
 static void lookup_response_read(struct array_reader *reader,
 				 struct sharing_message *message)
 {
-	message->revision = field_read_uint(reader, G_MAXINT64);
+	message->position.revision = field_read_uint(reader, G_MAXINT64);
 	hosts_read(reader, message);
 }
 
@@ -341,42 +321,78 @@
 
 static const struct {
 	unsigned int fields;
+	bool has_era_field; /* after the others, if the message has an era */
 	void (*write)(struct field_writer *writer,
 		      const struct sharing_message *message);
 	void (*read)(struct array_reader *reader,
 		     struct sharing_message *message);
 } message_codecs[SHARING_KINDS] = {
-	[SHARING_GOSSIP_REQUEST] = { GOSSIP_FIELDS, members_write,
+	[SHARING_GOSSIP_REQUEST] = { GOSSIP_FIELDS, false, members_write,
 				     members_read },
-	[SHARING_GOSSIP_RESPONSE] = { GOSSIP_FIELDS, members_write,
+	[SHARING_GOSSIP_RESPONSE] = { GOSSIP_FIELDS, false, members_write,
 				      members_read },
-	[SHARING_POLL] = { POLL_FIELDS, poll_write, poll_read },
-	[SHARING_UPDATE] = { UPDATE_FIELDS, update_write, update_read },
-	[SHARING_LOOKUP_REQUEST] = { LOOKUP_REQUEST_FIELDS,
+	[SHARING_POLL] = { POLL_FIELDS, false, poll_write, poll_read },
+	[SHARING_UPDATE] = { UPDATE_FIELDS, false, update_write, update_read },
+	[SHARING_LOOKUP_REQUEST] = { LOOKUP_REQUEST_FIELDS, false,
 				     lookup_request_write,
 				     lookup_request_read },
-	[SHARING_LOOKUP_RESPONSE] = { LOOKUP_RESPONSE_FIELDS,
+	[SHARING_LOOKUP_RESPONSE] = { LOOKUP_RESPONSE_FIELDS, true,
 				      lookup_response_write,
 				      lookup_response_read },
-	[SHARING_ZONE_DRAINS] = { SENDER_FIELDS + ZONE_DRAINS_FIELDS,
+	[SHARING_ZONE_DRAINS] = { SENDER_FIELDS + ZONE_DRAINS_FIELDS, true,
 				  zone_drains_write, zone_drains_read },
-	[SHARING_ZONE_LOADS] = { ZONE_LOADS_FIELDS, zone_loads_write,
+	[SHARING_ZONE_LOADS] = { ZONE_LOADS_FIELDS, false, zone_loads_write,
 				 zone_loads_read },
-	[SHARING_HOST_SPEEDS] = { HOST_SPEEDS_FIELDS, host_speeds_write,
+	[SHARING_HOST_SPEEDS] = { HOST_SPEEDS_FIELDS, false, host_speeds_write,
 				  host_speeds_read },
 };
 
+static bool has_era_field(const struct sharing_message *message)
+{
+	return message->has_era && message_codecs[message->kind].has_era_field;
+}
+
+/* The field of the era is optional. */
+static bool has_fields(const struct sharing_message *message,
+		       unsigned int count)
+{
+	unsigned int fields = message_codecs[message->kind].fields;
+
+	return count == fields ||
+	       (message_codecs[message->kind].has_era_field &&
+		count == fields + 1);
+}
+
+/* All positions are of the era of the message. */
+static void era_apply(struct sharing_message *message)
+{
+	uint64_t era = message->position.era;
+
+	if (message->drains)
+		message->listed_position.era = era;
+	for (guint i = 0; message->hosts && i < message->hosts->len; i++)
+		g_array_index(message->hosts, struct host_update, i)
+			.host.position.era = era;
+	for (guint i = 0; message->drains && i < message->drains->len; i++)
+		g_array_index(message->drains, struct zone_drain, i)
+			.position.era = era;
+}
+
 GByteArray *sharing_message_encode(const struct sharing_message *message)
 {
 	GByteArray *bytes = g_byte_array_new();
 	struct field_writer writer;
 
-	field_writer_init(&writer, bytes, message_codecs[message->kind].fields);
+	field_writer_init(&writer, bytes,
+			  message_codecs[message->kind].fields +
+				  has_era_field(message));
 	field_write_uint(&writer, FORMAT_VERSION);
 	field_write_uint(&writer, message->kind);
 	field_write_uint(&writer, message->zone);
 	field_write_uint(&writer, message->capacity);
 	message_codecs[message->kind].write(&writer, message);
+	if (has_era_field(message))
+		field_write_uint(&writer, message->position.era);
 	return bytes;
 }
 
@@ -397,11 +413,15 @@
 	message->zone = (uint32_t)field_read_uint(&reader, UINT32_MAX);
 	message->capacity = (uint16_t)field_read_uint(&reader, UINT16_MAX);
 	if (reader.has_error || format != FORMAT_VERSION ||
-	    message->kind == 0 ||
-	    reader.count != message_codecs[message->kind].fields)
+	    message->kind == 0 || !has_fields(message, reader.count))
 		return error_set(error, ERROR_PEER,
 				 "unknown message kind or format");
 	message_codecs[message->kind].read(&reader, message);
+	if (reader.count > message_codecs[message->kind].fields) {
+		message->has_era = true;
+		message->position.era = field_read_uint(&reader, G_MAXINT64);
+	}
+	era_apply(message);
 	if (array_reader_is_done(&reader))
 		return true;
 	sharing_message_clear(message);
--- a/sharing/sharing_send.c
+++ b/sharing/sharing_send.c
@@ -62,11 +62,17 @@
 	const struct changes_position *position = &sharing->changes_position;
 
 	if (position->source != address ||
-	    position->revision != sharing->options.replica_status->revision)
+	    !store_position_is_equal(position->after,
+				     sharing->options.replica_status->position))
 		return "";
 	return position->cursor;
 }
 
+uint64_t sharing_era(const struct sharing *sharing)
+{
+	return sharing->options.replica_status->position.era;
+}
+
 bool sharing_is_stale(const struct sharing *sharing, int64_t now_ns)
 {
 	return now_ns - sharing->options.replica_status->confirmed_ns >
@@ -78,6 +84,8 @@
 {
 	message->zone = sharing->zone;
 	message->capacity = sharing->options.capacity;
+	if (message->kind == SHARING_POLL)
+		message->has_era = true;
 	return sharing_message_encode(message);
 }
 
--- a/sharing/sharing_serve.c
+++ b/sharing/sharing_serve.c
@@ -97,27 +97,55 @@
 	update->chunk_bytes = MIN(bytes->len - offset, ROUTES_CHUNK_BYTES);
 }
 
-static void hosts_fill(struct sharing *sharing, uint64_t after, bool is_listing,
-		       const char *cursor, int64_t now_ns,
+/* Adds the hosts that changed after the position of the follower. */
+static void changes_fill(struct sharing *sharing, struct store_position after,
+			 const char *cursor, int64_t now_ns,
+			 struct sharing_message *update)
+{
+	struct host_table *table = steering_hosts(sharing->options.steering);
+	const struct position_range range = {
+		.after = after,
+		.last = sharing->options.replica_status->position,
+	};
+
+	/* Some removals may have been forgotten. */
+	update->needs_listing = store_position_is_before(
+		after, host_table_oldest_position(table));
+	replica_fill_changes(table, &range, cursor, now_ns, update);
+	if (*cursor != '\0')
+		update->base_revision = page_id(cursor);
+}
+
+/* The hosts that a follower lacks. */
+struct hosts_request {
+	struct store_position after;
+	bool is_listing;
+	const char *cursor; /* "" for from the start */
+};
+
+static void hosts_fill(struct sharing *sharing,
+		       const struct hosts_request *request, int64_t now_ns,
 		       struct sharing_message *update)
 {
 	struct host_table *table = steering_hosts(sharing->options.steering);
-	uint64_t revision = sharing->options.replica_status->revision;
+	const struct replica_status *replica_status =
+		sharing->options.replica_status;
+	struct store_position own = replica_status->position;
 
-	update->revision = after;
-	if (!sharing->options.replica_status->is_complete)
+	update->position = request->after;
+	if (!replica_status->is_complete)
 		return;
-	if (is_listing) {
-		replica_fill_listing(table, cursor, revision, now_ns, update);
-		update->base_revision = page_id(cursor);
-	} else if (after <= revision) {
-		/* Some removals may have been forgotten. */
-		update->needs_listing = after <
-					host_table_oldest_revision(table);
-		replica_fill_changes(table, after, cursor, revision, now_ns,
+	if (request->is_listing) {
+		replica_fill_listing(table, request->cursor, own, now_ns,
 				     update);
-		if (*cursor != '\0')
-			update->base_revision = page_id(cursor);
+		update->base_revision = page_id(request->cursor);
+	} else if (request->after.era != own.era) {
+		/* Revisions of another era say nothing here. */
+		update->position = own;
+		update->needs_listing = true;
+	} else if (!store_position_is_before(own, request->after)) {
+		changes_fill(sharing, request->after, request->cursor, now_ns,
+			     update);
 	}
 }
 
@@ -145,7 +173,8 @@
 		g_hash_table_insert(sharing->followers,
 				    GUINT_TO_POINTER(address), follower);
 	}
-	follower->revision = message->revision;
+	follower->position = message->position;
+	follower->knows_eras = message->has_era;
 	follower->routes_version = message->routes_version;
 	follower->polled_ns = now_ns;
 	follower->load_count = message->load_count;
@@ -183,10 +212,12 @@
 	return true;
 }
 
-static void listing_reject(struct sharing *sharing, uint32_t address)
+static void listing_reject(struct sharing *sharing, uint32_t address,
+			   bool knows_eras)
 {
 	struct sharing_message update = {
 		.kind = SHARING_UPDATE,
+		.has_era = knows_eras,
 		.update_age_ms = UINT32_MAX,
 	};
 
@@ -197,13 +228,18 @@
 void serve_handle_poll(struct sharing *sharing, uint32_t address,
 		       const struct sharing_message *message, int64_t now_ns)
 {
+	const struct hosts_request request = {
+		.after = message->position,
+		.is_listing = message->is_listing,
+		.cursor = message->cursor,
+	};
 	struct follower *follower =
 		follower_update(sharing, address, message, now_ns);
 	struct sharing_message update = { 0 };
 
 	sharing->counters[SHARING_POLLS_RECEIVED]++;
 	if (!listing_admit(sharing, follower, message, now_ns)) {
-		listing_reject(sharing, address);
+		listing_reject(sharing, address, message->has_era);
 		return;
 	}
 	/* A listing starts: the process may be another one than before. */
@@ -213,13 +249,13 @@
 		drains_serve(sharing, address, &follower->drains, now_ns);
 	if (follower && !message->is_listing)
 		follower->listing_ns = 0;
-	update.revision = message->revision;
-	update.base_revision = message->revision;
+	update.has_era = message->has_era;
+	update.position = message->position;
+	update.base_revision = message->position.revision;
 	chunk_fill(sharing, message->routes_version, message->chunk, &update);
 	/* Hosts do not fit beside a chunk of routes. */
 	if (update.chunk == 0)
-		hosts_fill(sharing, message->revision, message->is_listing,
-			   message->cursor, now_ns, &update);
+		hosts_fill(sharing, &request, now_ns, &update);
 	/* Loads do not fit beside routes or hosts. */
 	if (update.chunk == 0 && (!update.hosts || update.hosts->len == 0))
 		update.load_count =
@@ -229,28 +265,38 @@
 		speeds_handle_poll(sharing, address, follower, now_ns);
 }
 
-static GByteArray *push_encode(struct sharing *sharing, uint64_t revision,
-			       int64_t now_ns)
+static GByteArray *push_encode(struct sharing *sharing,
+			       const struct follower *follower, int64_t now_ns)
 {
-	struct sharing_message update = { .kind = SHARING_UPDATE };
+	const struct hosts_request request = { .after = follower->position,
+					       .cursor = "" };
+	struct sharing_message update = { .kind = SHARING_UPDATE,
+					  .has_era = follower->knows_eras };
 	GByteArray *bytes;
 
 	chunk_fill(sharing, 0, 0, &update);
-	hosts_fill(sharing, revision, false, "", now_ns, &update);
+	hosts_fill(sharing, &request, now_ns, &update);
 	update.update_age_ms = sharing_replica_age_ms(sharing, now_ns);
 	bytes = sharing_encode(sharing, &update);
 	sharing_message_clear(&update);
 	return bytes;
 }
 
-/* Most followers have the same revision, so they get the same datagram. */
+static bool is_same_push(const struct follower *a, const struct follower *b)
+{
+	return a->knows_eras == b->knows_eras &&
+	       store_position_is_equal(a->position, b->position);
+}
+
+/* Most followers have the same position, so they get the same datagram. */
 void serve_push(struct sharing *sharing, int64_t now_ns)
 {
 	const struct routing *routing =
 		steering_routing(sharing->options.steering);
-	uint64_t revision = sharing->options.replica_status->revision;
+	struct store_position position =
+		sharing->options.replica_status->position;
+	const struct follower *encoded = NULL;
 	GByteArray *bytes = NULL;
-	uint64_t encoded = 0;
 	GHashTableIter iterator;
 	gpointer key;
 	gpointer value;
@@ -259,15 +305,14 @@
 	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		const struct follower *follower = value;
 
-		if (follower->revision >= revision &&
+		if (!store_position_is_before(follower->position, position) &&
 		    (!routing || follower->routes_version >= routing->version))
 			continue;
-		if (!bytes || encoded != follower->revision) {
+		if (!encoded || !is_same_push(encoded, follower)) {
 			if (bytes)
 				g_byte_array_unref(bytes);
-			bytes = push_encode(sharing, follower->revision,
-					    now_ns);
-			encoded = follower->revision;
+			bytes = push_encode(sharing, follower, now_ns);
+			encoded = follower;
 		}
 		sharing->counters[SHARING_UPDATES_PUSHED]++;
 		sharing_send_bytes(sharing, GPOINTER_TO_UINT(key), bytes);
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -65,7 +65,7 @@
 /** What a follower knows of the drained zones. */
 struct follower_drains {
 	uint64_t digest; /* of the state that it last sent, 0 for none */
-	uint64_t revision; /* of that state */
+	struct store_position position; /* of that state */
 	uint64_t sent_digest; /* of the state last sent to it, 0 for none */
 	int64_t sent_ns;
 	uint32_t unanswered; /* messages since its last one */
@@ -73,7 +73,8 @@
 
 /** A balancer that polls this one. */
 struct follower {
-	uint64_t revision; /* in its last poll */
+	struct store_position position; /* in its last poll */
+	bool knows_eras; /* that poll had one */
 	uint64_t routes_version;
 	int64_t polled_ns;
 	int64_t listing_ns; /* when it last requested a page of a listing */
@@ -102,11 +103,11 @@
 
 /**
  * Where the changes of hosts that a member sends continue. It applies to that
- * member and to the revision that the replica had.
+ * member and to the position that the replica had.
  */
 struct changes_position {
 	uint32_t source; /* 0 for none */
-	uint64_t revision;
+	struct store_position after;
 	char cursor[HOST_ID_BYTES_MAX + 1];
 };
 
@@ -176,6 +177,8 @@
 	/* Member that serves the current listing; 0 for none. */
 	uint32_t listing_source;
 	struct host_listing *listing; /* NULL before its first page */
+	uint64_t listing_era; /* of a new era; 0 for the first listing */
+	int64_t listing_progress_ns; /* begin, or last page */
 	char cursor[HOST_ID_BYTES_MAX + 1];
 	struct host_load reported_loads[HOST_LOADS_MAX]; /* in the last poll */
 	size_t reported_load_count;
@@ -216,6 +219,8 @@
 			const GByteArray *bytes);
 void sharing_send(struct sharing *sharing, uint32_t address,
 		  struct sharing_message *message);
+/** Era of what the replica of the hosts and routes holds. */
+uint64_t sharing_era(const struct sharing *sharing);
 
 /** Age of the local replica; UINT32_MAX if it is incomplete. */
 uint32_t sharing_replica_age_ms(const struct sharing *sharing, int64_t now_ns);
@@ -280,6 +285,15 @@
  */
 void alternate_consider(struct sharing *sharing, uint32_t address,
 			uint32_t replica_age_ms, int64_t now_ns);
+/**
+ * Handles an update of a member whose era is higher: lists from it, once the
+ * routes are as new. Returns true if the rest is to be requested at once.
+ */
+bool listing_handle_new_era(struct sharing *sharing, uint32_t address,
+			    const struct sharing_message *update,
+			    int64_t now_ns);
+/** The member does not serve the listing that was requested from it. */
+void listing_give_up(struct sharing *sharing, uint32_t address);
 /** Returns true if another page is to be requested. */
 bool listing_handle_update(struct sharing *sharing, uint32_t address,
 			   const struct sharing_message *update,
--- a/sharing/zone_drains_codec.c
+++ b/sharing/zone_drains_codec.c
@@ -27,7 +27,8 @@
 		g_byte_array_append(bytes, (const guint8 *)drain->zone,
 				    (guint)length);
 		bytes_put(bytes,
-			  drain->revision | (drain->is_active ? ACTIVE_BIT : 0),
+			  drain->position.revision |
+				  (drain->is_active ? ACTIVE_BIT : 0),
 			  REVISION_BYTES);
 	}
 	return bytes;
@@ -41,8 +42,8 @@
 		(message->is_reply ? ZONE_DRAINS_ARE_REPLY : 0);
 
 	field_write_uint(writer, flags);
-	field_write_uint(writer, message->revision);
-	field_write_uint(writer, message->listed_revision);
+	field_write_uint(writer, message->position.revision);
+	field_write_uint(writer, message->listed_position.revision);
 	field_write_byte_array(writer, entries_encode(message));
 }
 
@@ -61,7 +62,7 @@
 	memcpy(drain->zone, *data, length);
 	*data += length;
 	revision = bytes_get(data, REVISION_BYTES);
-	drain->revision = revision & ~ACTIVE_BIT;
+	drain->position.revision = revision & ~ACTIVE_BIT;
 	drain->is_active = (revision & ACTIVE_BIT) != 0;
 	return true;
 }
@@ -101,8 +102,8 @@
 
 	message->is_complete = flags & ZONE_DRAINS_ARE_COMPLETE;
 	message->is_reply = flags & ZONE_DRAINS_ARE_REPLY;
-	message->revision = field_read_uint(reader, G_MAXINT64);
-	message->listed_revision = field_read_uint(reader, G_MAXINT64);
+	message->position.revision = field_read_uint(reader, G_MAXINT64);
+	message->listed_position.revision = field_read_uint(reader, G_MAXINT64);
 	data = field_read_bytes(reader, &length);
 	message->drains = g_array_new(FALSE, FALSE, sizeof(struct zone_drain));
 	if (!reader->has_error && !entries_read(data, length, message->drains))
@@ -114,7 +115,7 @@
 	GByteArray *bytes = entries_encode(message);
 	uint64_t digest;
 
-	bytes_put(bytes, message->listed_revision, REVISION_BYTES);
+	bytes_put(bytes, message->listed_position.revision, REVISION_BYTES);
 	bytes_put(bytes, message->is_complete, 1);
 	digest = XXH3_64bits(bytes->data, bytes->len);
 	g_byte_array_unref(bytes);
--- a/steering/host_changes.c
+++ b/steering/host_changes.c
@@ -61,21 +61,31 @@
 		now_ns + announcement->slow_start_ms * NS_PER_MS;
 }
 
-uint64_t host_announced_revision(const struct known_host *host)
+struct store_position host_announced_position(const struct known_host *host)
 {
-	return host->deferred ? host->deferred->revision
-			      : host->published.revision;
+	return host->deferred ? host->deferred->position
+			      : host->published.position;
+}
+
+static void newest_position_raise(struct host_table *table,
+				  struct store_position position)
+{
+	table->newest_position =
+		store_position_max(table->newest_position, position);
 }
 
 static bool is_outdated(const struct host_table *table,
 			const struct known_host *host,
 			const struct host_announcement *announcement)
 {
-	if (!host)
-		return announcement->revision <
-		       removal_log_find(table->removals, announcement->id);
-	return announcement->revision < host_announced_revision(host) ||
-	       announcement->revision < host->removed_revision;
+	struct store_position known;
+
+	if (host)
+		known = store_position_max(host_announced_position(host),
+					   host->removed_position);
+	else
+		known = removal_log_find(table->removals, announcement->id);
+	return store_position_is_before(announcement->position, known);
 }
 
 static bool needs_routes(const struct host_table *table,
@@ -96,15 +106,15 @@
 			       const struct host_announcement *announcement)
 {
 	bool is_known = host->deferred &&
-			host->deferred->revision == announcement->revision;
+			store_position_is_equal(host->deferred->position,
+						announcement->position);
 
 	if (is_known)
 		return;
 	g_free(host->deferred);
 	host->deferred = g_new(struct host_announcement, 1);
 	*host->deferred = *announcement;
-	table->newest_revision =
-		MAX(table->newest_revision, announcement->revision);
+	newest_position_raise(table, announcement->position);
 	table->options.on_deferred(table->options.context, host);
 }
 
@@ -125,10 +135,12 @@
 	if (!host)
 		host = host_add(table, announcement->id);
 	g_clear_pointer(&host->deferred, g_free);
-	table->newest_revision =
-		MAX(table->newest_revision, announcement->revision);
-	if (!is_new && announcement->revision == host->published.revision)
+	newest_position_raise(table, announcement->position);
+	if (!is_new && store_position_is_equal(announcement->position,
+					       host->published.position))
 		return;
+	host->unlisted_until_ns = 0;
+	host->withheld_until_ns = 0;
 	is_announced = host->published.service[0] != '\0';
 	is_changed = !announcement_is_equal(&host->published, announcement);
 	if (is_announced &&
@@ -152,7 +164,8 @@
 bool is_announcement_outdated(const struct host_table *table,
 			      const struct host_announcement *announcement)
 {
-	return announcement->revision <= table->listed_revision &&
+	return !store_position_is_before(table->listed_position,
+					 announcement->position) &&
 	       !g_hash_table_contains(table->by_id, announcement->id);
 }
 
@@ -165,12 +178,13 @@
 }
 
 void host_mark_removed(struct host_table *table, struct known_host *host,
-		       uint64_t revision, int64_t now_ns)
+		       struct store_position position, int64_t now_ns)
 {
 	g_clear_pointer(&host->deferred, g_free);
 	host->is_removed = true;
-	host->removed_revision = revision;
-	table->newest_revision = MAX(table->newest_revision, revision);
+	host->unlisted_until_ns = 0;
+	host->removed_position = position;
+	newest_position_raise(table, position);
 	host->removed_since_ns = now_ns;
 	table->published_count--;
 	table->generation++;
@@ -178,39 +192,40 @@
 }
 
 void host_table_remove(struct host_table *table, const char *id,
-		       uint64_t revision, int64_t now_ns)
+		       struct store_position position, int64_t now_ns)
 {
 	struct known_host *host = host_table_find(table, id);
 
 	if (!host) {
-		removal_log_add(table->removals, id, revision, now_ns);
-		table->newest_revision = MAX(table->newest_revision, revision);
+		removal_log_add(table->removals, id, position, now_ns);
+		newest_position_raise(table, position);
 		return;
 	}
-	if (host->is_removed || revision < host_announced_revision(host))
+	if (host->is_removed ||
+	    store_position_is_before(position, host_announced_position(host)))
 		return;
-	host_mark_removed(table, host, revision, now_ns);
+	host_mark_removed(table, host, position, now_ns);
 }
 
 void host_table_restore(struct host_table *table,
 			const struct host_announcement *announcement,
-			uint64_t removed_revision, int64_t now_ns)
+			struct store_position removed_position, int64_t now_ns)
 {
 	const char *id = announcement->id;
-	uint64_t logged_revision = removal_log_find(table->removals, id);
+	struct store_position logged = removal_log_find(table->removals, id);
 
 	if (g_hash_table_contains(table->by_id, id))
 		return;
 	if (is_announcement_outdated(table, announcement))
-		removed_revision =
-			MAX(removed_revision, table->listed_revision);
-	if (logged_revision > announcement->revision)
-		removed_revision = MAX(removed_revision, logged_revision);
+		removed_position = store_position_max(removed_position,
+						      table->listed_position);
+	if (store_position_is_before(announcement->position, logged))
+		removed_position = store_position_max(removed_position, logged);
 	/* Keeps the host although a removal of it is recorded. */
 	removal_log_drop(table->removals, id);
 	host_put(table, announcement, now_ns);
-	if (removed_revision > 0)
-		host_table_remove(table, id, removed_revision, now_ns);
+	if (!store_position_is_none(removed_position))
+		host_table_remove(table, id, removed_position, now_ns);
 }
 
 static GPtrArray *deferred_hosts_find(const struct host_table *table)
--- a/steering/host_probes.c
+++ b/steering/host_probes.c
@@ -109,7 +109,7 @@
 	       published->port == own->port &&
 	       ip_address_equal(&published->address, &own->address) &&
 	       published->started_ms > own->started_ms &&
-	       published->revision > own->revision;
+	       store_position_is_before(own->position, published->position);
 }
 
 /* Returns NULL if the host still has its address. */
--- a/steering/host_table.c
+++ b/steering/host_table.c
@@ -62,17 +62,17 @@
 			 const struct known_host *host)
 {
 	if (host_is_routed(host))
-		table->oldest_revision =
-			MAX(table->oldest_revision, host->removed_revision);
+		table->oldest_position = store_position_max(
+			table->oldest_position, host->removed_position);
 	else
 		removal_log_add(table->removals, host->published.id,
-				host->removed_revision, host->removed_since_ns);
+				host->removed_position, host->removed_since_ns);
 }
 
 void host_table_expire(struct host_table *table, int64_t before_ns)
 {
 	GArray *shared_tokens = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	uint64_t expired_revision;
+	struct store_position expired;
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -93,8 +93,9 @@
 		table->generation++;
 		g_hash_table_iter_remove(&iterator);
 	}
-	expired_revision = removal_log_expire(table->removals, before_ns);
-	table->oldest_revision = MAX(table->oldest_revision, expired_revision);
+	expired = removal_log_expire(table->removals, before_ns);
+	table->oldest_position =
+		store_position_max(table->oldest_position, expired);
 	for (guint i = 0; i < shared_tokens->len; i++)
 		token_owner_update(table,
 				   g_array_index(shared_tokens, uint32_t, i));
@@ -118,9 +119,9 @@
 	return g_hash_table_lookup(table->by_service, service);
 }
 
-uint64_t host_table_oldest_revision(const struct host_table *table)
+struct store_position host_table_oldest_position(const struct host_table *table)
 {
-	return table->oldest_revision;
+	return table->oldest_position;
 }
 
 uint64_t host_table_generation(const struct host_table *table)
@@ -128,9 +129,9 @@
 	return table->generation;
 }
 
-uint64_t host_table_newest_revision(const struct host_table *table)
+struct store_position host_table_newest_position(const struct host_table *table)
 {
-	return table->newest_revision;
+	return table->newest_position;
 }
 
 struct known_host *host_table_next(struct host_table *table, const char *id)
@@ -140,7 +141,7 @@
 	while (node) {
 		struct known_host *host = g_tree_node_value(node);
 
-		if (!host->is_removed)
+		if (!host->is_removed && host->unlisted_until_ns == 0)
 			return host;
 		node = g_tree_node_next(node);
 	}
--- a/steering/opening.c
+++ b/steering/opening.c
@@ -202,8 +202,7 @@
 	 * While the host responds to others, a lost packet is likelier than a
 	 * host that ignores this flow.
 	 */
-	if (!host->is_removed && !host->published.is_draining &&
-	    !host->is_zone_drained && has_progress && packet->copy <= 1 &&
+	if (host_takes_flows(host) && has_progress && packet->copy <= 1 &&
 	    slow_start_admit(steering, host, now_ns)) {
 		steering_decide(decision, STEERING_FORWARD,
 				STEERING_PLACED_AGAIN, host);
--- a/steering/placement_pool.c
+++ b/steering/placement_pool.c
@@ -52,8 +52,7 @@
 
 enum pool_class pool_classify(const struct known_host *host, const char *zone)
 {
-	if (host->is_removed || host->has_token_conflict ||
-	    host->published.is_draining || host->is_zone_drained)
+	if (!host_takes_flows(host) || host->has_token_conflict)
 		return POOL_UNUSABLE;
 	if (health_is_silent(&host->health))
 		return POOL_SILENT;
--- a/steering/removal_log.c
+++ b/steering/removal_log.c
@@ -21,25 +21,26 @@
 	g_free(log);
 }
 
-void removal_log_add(struct removal_log *log, const char *id, uint64_t revision,
-		     int64_t now_ns)
+void removal_log_add(struct removal_log *log, const char *id,
+		     struct store_position position, int64_t now_ns)
 {
 	struct host_removal *removal;
 
-	if (removal_log_find(log, id) >= revision)
+	if (!store_position_is_before(removal_log_find(log, id), position))
 		return;
 	removal = g_new0(struct host_removal, 1);
-	removal->revision = revision;
+	removal->position = position;
 	removal->since_ns = now_ns;
 	g_hash_table_insert(log->by_id, g_strdup(id), removal);
 }
 
-uint64_t removal_log_find(const struct removal_log *log, const char *id)
+struct store_position removal_log_find(const struct removal_log *log,
+				       const char *id)
 {
 	const struct host_removal *removal =
 		g_hash_table_lookup(log->by_id, id);
 
-	return removal ? removal->revision : 0;
+	return removal ? removal->position : STORE_POSITION_NONE;
 }
 
 void removal_log_drop(struct removal_log *log, const char *id)
@@ -47,9 +48,15 @@
 	g_hash_table_remove(log->by_id, id);
 }
 
-uint64_t removal_log_expire(struct removal_log *log, int64_t before_ns)
+void removal_log_clear(struct removal_log *log)
 {
-	uint64_t newest_revision = 0;
+	g_hash_table_remove_all(log->by_id);
+}
+
+struct store_position removal_log_expire(struct removal_log *log,
+					 int64_t before_ns)
+{
+	struct store_position newest = STORE_POSITION_NONE;
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -59,10 +66,10 @@
 
 		if (removal->since_ns > before_ns)
 			continue;
-		newest_revision = MAX(newest_revision, removal->revision);
+		newest = store_position_max(newest, removal->position);
 		g_hash_table_iter_remove(&iterator);
 	}
-	return newest_revision;
+	return newest;
 }
 
 GHashTable *removal_log_all(const struct removal_log *log)
--- a/steering/steering.c
+++ b/steering/steering.c
@@ -91,7 +91,7 @@
 	struct steering *steering = context;
 
 	host_table_set_zone_drained(steering->hosts, drain->zone,
-				    drain->is_active);
+				    zone_drain_is_in_force(drain));
 	steering->options.on_zone_drain_changed(steering->options.context,
 						drain);
 }
@@ -322,6 +322,8 @@
 		idle_ns = MAX(idle_ns,
 			      steering->routing->idle_timeout_ms * NS_PER_MS);
 	flow_cache_expire(steering->flows, now_ns - idle_ns);
+	host_table_end_waits(steering->hosts, now_ns);
+	zone_drains_end_waits(steering->drains, now_ns);
 	monitor_dead_hosts(steering, now_ns);
 	monitor_slow_hosts(steering, now_ns);
 	host_speeds_update(steering->host_speeds,
--- a/steering/zone_drains.c
+++ b/steering/zone_drains.c
@@ -5,8 +5,12 @@
 struct zone_drains {
 	struct zone_drains_options options;
 	GArray *entries; /* struct zone_drain, by zone */
-	uint64_t listed_revision; /* see zone_drains_listed_revision() */
-	uint64_t listing_revision; /* of the listing in progress */
+	/* See zone_drains_listed_position(). */
+	struct store_position listed_position;
+	uint64_t era; /* of all entries */
+	struct store_position listing_position; /* of the listing in progress */
+	/* struct zone_drain of that listing, if it is of a new era. */
+	GArray *listed;
 	bool has_ignored; /* since the listing began */
 };
 
@@ -17,6 +21,7 @@
 
 	drains->options = *options;
 	drains->entries = g_array_new(FALSE, FALSE, sizeof(struct zone_drain));
+	drains->listed = g_array_new(FALSE, FALSE, sizeof(struct zone_drain));
 	return drains;
 }
 
@@ -25,6 +30,7 @@
 	if (!drains)
 		return;
 	g_array_unref(drains->entries);
+	g_array_unref(drains->listed);
 	g_free(drains);
 }
 
@@ -67,14 +73,25 @@
 	       bytes <= ZONE_DRAINS_NAMES_BYTES_MAX;
 }
 
-/* Without them, the listed revision says the same of these zones. */
+bool zone_drain_is_in_force(const struct zone_drain *drain)
+{
+	return drain->is_active || drain->kept_until_ns != 0;
+}
+
+static bool is_listed_after(const struct zone_drains *drains,
+			    struct store_position position)
+{
+	return !store_position_is_before(drains->listed_position, position);
+}
+
+/* Without them, the listed position says the same of these zones. */
 static void implied_entries_remove(struct zone_drains *drains)
 {
 	for (guint i = drains->entries->len; i-- > 0;) {
 		const struct zone_drain *entry = entry_at(drains, i);
 
-		if (!entry->is_active &&
-		    entry->revision <= drains->listed_revision)
+		if (!zone_drain_is_in_force(entry) &&
+		    is_listed_after(drains, entry->position))
 			g_array_remove_index(drains->entries, i);
 	}
 }
@@ -97,53 +114,76 @@
 }
 
 /*
- * At the same revision the withdrawal wins: it comes from a listing without the
+ * At the same position the withdrawal wins: it comes from a listing without the
  * key, which is newer than the request.
  */
-static bool is_newer(const struct zone_drain *entry, uint64_t revision,
-		     bool is_active)
+static bool is_newer(const struct zone_drain *entry,
+		     struct store_position position, bool is_active)
 {
-	return revision > entry->revision ||
-	       (revision == entry->revision && entry->is_active && !is_active);
+	int order = store_position_compare(position, entry->position);
+
+	return order > 0 || (order == 0 && entry->is_active && !is_active);
 }
 
 static void entry_change(struct zone_drains *drains, struct zone_drain *entry,
-			 uint64_t revision, bool is_active, int64_t now_ns)
+			 struct store_position position, bool is_active,
+			 int64_t now_ns)
 {
-	bool was_active = entry->is_active;
+	bool was_in_force = zone_drain_is_in_force(entry);
 
-	if (!is_newer(entry, revision, is_active))
+	if (!is_newer(entry, position, is_active))
 		return;
-	entry->revision = revision;
+	entry->position = position;
 	entry->is_active = is_active;
+	entry->kept_until_ns = 0;
 	entry->changed_ns = now_ns;
-	if (was_active != is_active)
+	if (was_in_force != zone_drain_is_in_force(entry))
 		drains->options.on_changed(drains->options.context, entry);
 }
 
 /* Returns false if there is no room for another zone. */
 static bool change_apply(struct zone_drains *drains, const char *zone,
-			 uint64_t revision, bool is_active, int64_t now_ns)
+			 struct store_position position, bool is_active,
+			 int64_t now_ns)
 {
 	struct zone_drain *entry = entry_find(drains, zone);
 
 	/* A late request: it was withdrawn before the listing. */
-	if (!entry && is_active && revision <= drains->listed_revision)
+	if (!entry && is_active && is_listed_after(drains, position))
 		return true;
 	if (!entry)
 		entry = entry_add(drains, zone);
 	if (!entry)
-		return !is_active && revision <= drains->listed_revision;
-	entry_change(drains, entry, revision, is_active, now_ns);
+		return !is_active && is_listed_after(drains, position);
+	entry_change(drains, entry, position, is_active, now_ns);
 	return true;
 }
 
+/* Before the first listing there is nothing to compare with. */
+static bool is_new_era(const struct zone_drains *drains, uint64_t era)
+{
+	return drains->era != 0 && era > drains->era;
+}
+
+static bool is_listing_new_era(const struct zone_drains *drains)
+{
+	return is_new_era(drains, drains->listing_position.era);
+}
+
 bool zone_drains_set(struct zone_drains *drains, const char *zone,
-		     uint64_t revision, bool is_active, int64_t now_ns)
+		     struct store_position position, bool is_active,
+		     int64_t now_ns)
 {
+	struct zone_drain listed = { .position = position,
+				     .is_active = is_active };
 	struct zone_drain *entry;
 
-	if (!change_apply(drains, zone, revision, is_active, now_ns)) {
+	if (is_listing_new_era(drains)) {
+		g_strlcpy(listed.zone, zone, sizeof(listed.zone));
+		g_array_append_val(drains->listed, listed);
+		return true;
+	}
+	if (!change_apply(drains, zone, position, is_active, now_ns)) {
 		drains->has_ignored = true;
 		return false;
 	}
@@ -162,65 +202,133 @@
 		entry->is_listed = true;
 }
 
-void zone_drains_listing_begin(struct zone_drains *drains, uint64_t revision)
+static void listed_marks_clear(struct zone_drains *drains)
 {
-	drains->listing_revision = revision;
-	drains->has_ignored = false;
 	for (guint i = 0; i < drains->entries->len; i++)
 		entry_at(drains, i)->is_listed = false;
 }
 
+/*
+ * Zones that are drained stay so for a while, and those whose requests are
+ * ignored (marked as listed) until a change. The other entries of the former
+ * era say nothing in the new one.
+ */
+static void new_era_begin(struct zone_drains *drains, uint64_t era,
+			  int64_t now_ns)
+{
+	const struct store_position start = { .era = era };
+
+	for (guint i = drains->entries->len; i-- > 0;) {
+		struct zone_drain *entry = entry_at(drains, i);
+
+		if (!zone_drain_is_in_force(entry)) {
+			g_array_remove_index(drains->entries, i);
+			continue;
+		}
+		if (entry->is_active && !entry->is_listed) {
+			entry->is_active = false;
+			entry->kept_until_ns = now_ns + STORE_REWRITE_NS;
+		}
+		entry->position = start;
+	}
+	drains->era = era;
+	drains->listed_position = STORE_POSITION_NONE;
+}
+
+static void listed_apply(struct zone_drains *drains, int64_t now_ns)
+{
+	for (guint i = 0; i < drains->listed->len; i++) {
+		const struct zone_drain *listed =
+			&g_array_index(drains->listed, struct zone_drain, i);
+
+		zone_drains_set(drains, listed->zone, listed->position,
+				listed->is_active, now_ns);
+	}
+	g_array_set_size(drains->listed, 0);
+}
+
+void zone_drains_listing_begin(struct zone_drains *drains,
+			       struct store_position position)
+{
+	drains->listing_position = position;
+	drains->has_ignored = false;
+	g_array_set_size(drains->listed, 0);
+	listed_marks_clear(drains);
+}
+
 void zone_drains_listing_end(struct zone_drains *drains, int64_t now_ns)
 {
-	uint64_t revision = drains->listing_revision;
+	struct store_position position = drains->listing_position;
 
+	if (is_listing_new_era(drains))
+		new_era_begin(drains, position.era, now_ns);
+	drains->era = MAX(drains->era, position.era);
+	listed_apply(drains, now_ns);
 	for (guint i = 0; i < drains->entries->len; i++) {
 		struct zone_drain *entry = entry_at(drains, i);
 
 		if (entry->is_active && !entry->is_listed)
-			entry_change(drains, entry, revision, false, now_ns);
+			entry_change(drains, entry, position, false, now_ns);
 	}
 	/*
 	 * Another balancer may know a usable earlier request of the zone whose
 	 * entry was ignored, so that zone must not count as not drained.
 	 */
 	if (!drains->has_ignored)
-		drains->listed_revision =
-			MAX(drains->listed_revision, revision);
+		drains->listed_position =
+			store_position_max(drains->listed_position, position);
 }
 
-static bool is_among(const char *zone, const struct zone_drain *entries,
-		     size_t count)
+static bool is_among(const char *zone, const struct zone_drains_state *state)
 {
-	for (size_t i = 0; i < count; i++) {
-		if (strcmp(entries[i].zone, zone) == 0)
+	for (size_t i = 0; i < state->count; i++) {
+		if (strcmp(state->entries[i].zone, zone) == 0)
 			return true;
 	}
 	return false;
 }
 
 void zone_drains_merge(struct zone_drains *drains,
-		       const struct zone_drain *entries, size_t count,
-		       uint64_t listed_revision, int64_t now_ns)
+		       const struct zone_drains_state *state, int64_t now_ns)
+{
+	if (is_new_era(drains, state->era)) {
+		listed_marks_clear(drains);
+		new_era_begin(drains, state->era, now_ns);
+	}
+	drains->era = MAX(drains->era, state->era);
+	for (size_t i = 0; i < state->count; i++)
+		change_apply(drains, state->entries[i].zone,
+			     state->entries[i].position,
+			     state->entries[i].is_active, now_ns);
+	for (guint i = 0; i < drains->entries->len; i++) {
+		struct zone_drain *entry = entry_at(drains, i);
+
+		if (entry->is_active && !is_among(entry->zone, state))
+			entry_change(drains, entry, state->listed_position,
+				     false, now_ns);
+	}
+	drains->listed_position = store_position_max(drains->listed_position,
+						     state->listed_position);
+}
+
+void zone_drains_end_waits(struct zone_drains *drains, int64_t now_ns)
 {
-	for (size_t i = 0; i < count; i++)
-		change_apply(drains, entries[i].zone, entries[i].revision,
-			     entries[i].is_active, now_ns);
 	for (guint i = 0; i < drains->entries->len; i++) {
 		struct zone_drain *entry = entry_at(drains, i);
 
-		if (entry->is_active && !is_among(entry->zone, entries, count))
-			entry_change(drains, entry, listed_revision, false,
-				     now_ns);
+		if (entry->kept_until_ns == 0 || now_ns < entry->kept_until_ns)
+			continue;
+		entry->kept_until_ns = 0;
+		entry->changed_ns = now_ns;
+		drains->options.on_changed(drains->options.context, entry);
 	}
-	drains->listed_revision = MAX(drains->listed_revision, listed_revision);
 }
 
 bool zone_drains_is_active(const struct zone_drains *drains, const char *zone)
 {
 	const struct zone_drain *entry = entry_find(drains, zone);
 
-	return entry && entry->is_active;
+	return entry && zone_drain_is_in_force(entry);
 }
 
 const struct zone_drain *zone_drains_entries(const struct zone_drains *drains,
@@ -230,9 +338,15 @@
 	return (const struct zone_drain *)drains->entries->data;
 }
 
-uint64_t zone_drains_listed_revision(const struct zone_drains *drains)
+uint64_t zone_drains_era(const struct zone_drains *drains)
+{
+	return drains->era;
+}
+
+struct store_position
+zone_drains_listed_position(const struct zone_drains *drains)
 {
-	return drains->listed_revision;
+	return drains->listed_position;
 }
 
 uint32_t zone_drains_active_count(const struct zone_drains *drains)
@@ -240,6 +354,6 @@
 	uint32_t count = 0;
 
 	for (guint i = 0; i < drains->entries->len; i++)
-		count += entry_at(drains, i)->is_active;
+		count += zone_drain_is_in_force(entry_at(drains, i));
 	return count;
 }
--- a/tests/parsleyladder/test_balancer.c
+++ b/tests/parsleyladder/test_balancer.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "balancer_fixture.h"
+#include "position.h"
 #include "suite.h"
 
 #define DEADLINE_US (5 * G_USEC_PER_SEC)
@@ -74,7 +75,8 @@
 	struct host_table *table = steering_hosts(fixture.balancer->steering);
 
 	for (uint32_t i = 0; i < hosts; i++) {
-		struct host_announcement host = { .revision = 1 + i };
+		struct host_announcement host = { .position =
+							  position_at(1 + i) };
 
 		g_snprintf(host.id, sizeof(host.id), "i-%u", i);
 		g_strlcpy(host.service, "examen", sizeof(host.service));
@@ -88,7 +90,8 @@
 		char id[16];
 
 		g_snprintf(id, sizeof(id), "i-%u", i);
-		host_table_remove(table, id, hosts + 1, fixture.now_ns);
+		host_table_remove(table, id, position_at(hosts + 1),
+				  fixture.now_ns);
 	}
 	ck_assert_int_le(counter_find("total_log_left_out_lines"), 2500);
 }
@@ -96,7 +99,8 @@
 
 static void zone_host_publish(const char *id, const char *zone)
 {
-	struct host_announcement host = { .slots = 2, .revision = 1 };
+	struct host_announcement host = { .slots = 2,
+					  .position = position_at(1) };
 
 	g_strlcpy(host.id, id, sizeof(host.id));
 	g_strlcpy(host.service, "examen", sizeof(host.service));
@@ -165,7 +169,8 @@
 
 	ck_assert(host_speeds_is_enabled(steering_host_speeds(steering)));
 	for (uint32_t i = 0; i < hosts; i++) {
-		struct host_announcement host = { .revision = 1 + i };
+		struct host_announcement host = { .position =
+							  position_at(1 + i) };
 
 		g_snprintf(host.id, sizeof(host.id), "i-%u", i);
 		g_strlcpy(host.service, "examen", sizeof(host.service));
--- a/tests/parsleyladder/test_balancer_drains.c
+++ b/tests/parsleyladder/test_balancer_drains.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "balancer_fixture.h"
+#include "position.h"
 #include "suite.h"
 
 static struct balancer_fixture fixture;
@@ -39,7 +40,7 @@
 	struct store_item item;
 
 	store_item_parse(key, value ? value : "{}", value ? strlen(value) : 2,
-			 revision, &item);
+			 position_at(revision), &item);
 	if (!value)
 		item.kind = STORE_ITEM_ZONE_DRAIN_REMOVED;
 	balancer_drain_apply(fixture.balancer, &item);
@@ -83,19 +84,19 @@
 		steering_zone_drains(fixture.balancer->steering);
 
 	request_apply("b", "{}", 10);
-	zone_drains_listing_begin(drains, 20);
+	zone_drains_listing_begin(drains, position_at(20));
 	request_apply("b", "[]", 12);
 	zone_drains_listing_end(drains, fixture.now_ns);
 	ck_assert(is_drained("b"));
-	ck_assert_uint_eq(zone_drains_listed_revision(drains), 0);
+	ck_assert_uint_eq(zone_drains_listed_position(drains).revision, 0);
 	/* Nor does one of a zone that the settings do not name. */
 	zones_set("a");
-	zone_drains_listing_begin(drains, 30);
+	zone_drains_listing_begin(drains, position_at(30));
 	request_apply("b", "{}", 10);
 	zone_drains_listing_end(drains, fixture.now_ns);
 	ck_assert(is_drained("b"));
-	ck_assert_uint_eq(zone_drains_listed_revision(drains), 0);
-	zone_drains_listing_begin(drains, 40);
+	ck_assert_uint_eq(zone_drains_listed_position(drains).revision, 0);
+	zone_drains_listing_begin(drains, position_at(40));
 	zone_drains_listing_end(drains, fixture.now_ns);
 	ck_assert(!is_drained("b"));
 }
@@ -103,7 +104,8 @@
 
 static void host_publish(const char *id, const char *zone)
 {
-	struct host_announcement host = { .revision = 5, .slots = 1 };
+	struct host_announcement host = { .position = position_at(5),
+					  .slots = 1 };
 
 	g_strlcpy(host.id, id, sizeof(host.id));
 	g_strlcpy(host.zone, zone, sizeof(host.zone));
--- a/tests/parsleyladder/test_instance_routes.c
+++ b/tests/parsleyladder/test_instance_routes.c
@@ -11,6 +11,7 @@
 #include "balancer_fixture.h"
 #include "parsleyladder/instance_routes.h"
 #include "platform/items.h"
+#include "position.h"
 #include "suite.h"
 
 #define CONFIGURATIONS SOURCE_ROOT "/tests/parsleyladder/check-configuration/"
@@ -77,7 +78,7 @@
 	char *text;
 
 	ck_assert(g_file_get_contents(path, &text, &length, NULL));
-	store_item_parse("op/config", text, length, 1, &item);
+	store_item_parse("op/config", text, length, position_at(1), &item);
 	ck_assert_int_eq(item.kind, STORE_ITEM_ROUTING);
 	if (is_partial)
 		routing_inherit_attributes(item.routing, NULL);
@@ -94,7 +95,7 @@
 	struct host_table *hosts = steering_hosts(fixture.balancer->steering);
 	struct host_announcement announcement = { .port = 80,
 						  .slots = 1,
-						  .revision = 1 };
+						  .position = position_at(1) };
 
 	g_strlcpy(announcement.id, id, sizeof(announcement.id));
 	g_strlcpy(announcement.service, service, sizeof(announcement.service));
--- a/tests/platform/test_attributes.c
+++ b/tests/platform/test_attributes.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "platform/items.h"
+#include "position.h"
 #include "suite.h"
 
 static void configuration_parse(const char *route, const char *services,
@@ -17,7 +18,8 @@
 		"\"prefix\":\"/443/\",\"service\":\"s\"%s}]%s}",
 		route, services);
 
-	store_item_parse("op/config", value, strlen(value), 9, item);
+	store_item_parse("op/config", value, strlen(value), position_at(9),
+			 item);
 	ck_assert_int_eq(item->kind, STORE_ITEM_ROUTING);
 	ck_assert_uint_eq(item->routing->rule_count, 1);
 	ck_assert(!item->routing->is_partial);
--- a/tests/platform/test_foreign_values.c
+++ b/tests/platform/test_foreign_values.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "platform/items.h"
+#include "position.h"
 #include "suite.h"
 
 #define VALUE_BYTES_MAX (1024 * 1024)
@@ -97,11 +98,13 @@
 	long before_kib = memory_peak_kib();
 	struct store_item item;
 
-	store_item_parse("servers/agent-1", value->str, value->len, 9, &item);
+	store_item_parse("servers/agent-1", value->str, value->len,
+			 position_at(9), &item);
 	memory_check(before_kib);
 	ck_assert_int_eq(item.kind, shapes[_i].kind);
 	store_item_clear(&item);
-	store_item_parse("op/evacuate/a", value->str, value->len, 9, &item);
+	store_item_parse("op/evacuate/a", value->str, value->len,
+			 position_at(9), &item);
 	memory_check(before_kib);
 	ck_assert_str_eq(item.zone, "a");
 	store_item_clear(&item);
@@ -137,7 +140,7 @@
 	g_string_append(body, "],\"currentRev\":9}");
 	bytes = g_string_free_to_bytes(body);
 	before_kib = memory_peak_kib();
-	response = store_response_parse(bytes, NULL);
+	response = store_response_parse(bytes, 0, NULL);
 	memory_check(before_kib);
 	ck_assert_ptr_nonnull(response);
 	ck_assert_uint_eq(response->items->len, 6);
@@ -164,7 +167,8 @@
 	for (int i = 0; i < 400000; i++)
 		g_string_append_c(value, ']');
 	g_string_append_c(value, '}');
-	store_item_parse("servers/i-1", value->str, value->len, 9, &item);
+	store_item_parse("servers/i-1", value->str, value->len, position_at(9),
+			 &item);
 	ck_assert_int_eq(item.kind, STORE_ITEM_HOST);
 	store_item_clear(&item);
 	g_string_free(value, TRUE);
--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "platform/items.h"
+#include "position.h"
 #include "suite.h"
 
 #define HOST(fields)                                                           \
@@ -67,7 +68,7 @@
 	struct store_item item;
 
 	store_item_parse(cases[_i].key, cases[_i].value,
-			 strlen(cases[_i].value), 9, &item);
+			 strlen(cases[_i].value), position_at(9), &item);
 	ck_assert_int_eq(item.kind, cases[_i].kind);
 	store_item_clear(&item);
 }
@@ -91,13 +92,14 @@
 		g_string_append_c(body, '[');
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
-		store_item_parse(keys[i], value->str, value->len, 9, &item);
+		store_item_parse(keys[i], value->str, value->len,
+				 position_at(9), &item);
 		ck_assert_int_eq(item.kind, STORE_ITEM_IGNORED);
 		ck_assert_ptr_nonnull(item.problem);
 		store_item_clear(&item);
 	}
 	bytes = g_string_free_to_bytes(body);
-	ck_assert_ptr_null(store_response_parse(bytes, &error));
+	ck_assert_ptr_null(store_response_parse(bytes, 0, &error));
 	ck_assert_int_eq(error.kind, ERROR_PLATFORM);
 	g_bytes_unref(bytes);
 	g_string_free(value, TRUE);
@@ -158,7 +160,8 @@
 	char *value = g_strconcat(FIRST_FIELDS, cases[_i].fields, "}", NULL);
 	struct store_item item;
 
-	store_item_parse("servers/i-7f", value, strlen(value), 9, &item);
+	store_item_parse("servers/i-7f", value, strlen(value), position_at(9),
+			 &item);
 	ck_assert_int_eq(item.kind, cases[_i].kind);
 	/* The host that had this id before stays as it was. */
 	ck_assert_str_eq(item.host.id, "i-7f");
@@ -204,7 +207,7 @@
 		odd_text, valid_text);
 	GBytes *body = g_bytes_new_take(text, strlen(text));
 
-	response = store_response_parse(body, &error);
+	response = store_response_parse(body, 0, &error);
 	ck_assert_ptr_nonnull(response);
 	ck_assert_uint_eq(response->items->len, 2);
 	ck_assert_int_eq(
@@ -224,12 +227,13 @@
 	static const char value[] = HOST(",\"state\":\"draining\"");
 	struct store_item item;
 
-	store_item_parse("servers/i-7f3a91c2", value, strlen(value), 9, &item);
+	store_item_parse("servers/i-7f3a91c2", value, strlen(value),
+			 position_at(9), &item);
 	ck_assert_str_eq(item.host.id, "i-7f3a91c2");
 	ck_assert_uint_eq(item.host.target_id, 0x7f3a91c2);
 	ck_assert_uint_eq(item.host.port, 80);
 	ck_assert_uint_eq(item.host.slots, 3);
-	ck_assert_uint_eq(item.host.revision, 9);
+	ck_assert_uint_eq(item.host.position.revision, 9);
 	ck_assert(item.host.is_draining);
 	store_item_clear(&item);
 }
@@ -246,7 +250,8 @@
 	struct store_item item;
 	uint32_t second_service_count = 0;
 
-	store_item_parse("op/config", value, strlen(value), 9, &item);
+	store_item_parse("op/config", value, strlen(value), position_at(9),
+			 &item);
 	ck_assert_int_eq(item.kind, STORE_ITEM_ROUTING);
 	ck_assert_uint_eq(item.routing->version, 3);
 	ck_assert_uint_eq(item.routing->idle_timeout_ms, 7000);
@@ -300,13 +305,13 @@
 		cases[_i].item);
 	GBytes *body = g_bytes_new_take(text, strlen(text));
 	struct error error = { 0 };
-	struct store_response *response = store_response_parse(body, &error);
+	struct store_response *response = store_response_parse(body, 0, &error);
 	const struct store_item *item;
 
 	ck_assert_ptr_nonnull(response);
 	item = &g_array_index(response->items, struct store_item, 0);
 	ck_assert_int_eq(item->kind, cases[_i].kind);
-	ck_assert_uint_eq(item->revision, 4);
+	ck_assert_uint_eq(item->position.revision, 4);
 	ck_assert_str_eq(item->zone, cases[_i].zone);
 	ck_assert((item->problem != NULL) == cases[_i].has_problem);
 	store_response_free(response);
@@ -337,7 +342,7 @@
 	GBytes *body =
 		g_bytes_new_static(cases[_i].body, strlen(cases[_i].body));
 	struct error error = { 0 };
-	struct store_response *response = store_response_parse(body, &error);
+	struct store_response *response = store_response_parse(body, 0, &error);
 
 	ck_assert((response != NULL) == cases[_i].is_valid);
 	if (response)
@@ -354,7 +359,7 @@
 	GBytes *body = g_bytes_new(NULL, 0);
 	struct error error = { 0 };
 
-	ck_assert_ptr_null(store_response_parse(body, &error));
+	ck_assert_ptr_null(store_response_parse(body, 0, &error));
 	ck_assert_int_eq(error.kind, ERROR_PLATFORM);
 	g_bytes_unref(body);
 }
--- a/tests/sharing/network.c
+++ b/tests/sharing/network.c
@@ -8,6 +8,7 @@
 #define DELAY_NS (1 * NS_PER_MS)
 #define FIRST_ADDRESS 0x0a000001
 #define SEEDS 3
+#define STORE_ERA_FIRST 4
 
 struct packet_in_flight {
 	uint32_t source;
@@ -75,19 +76,13 @@
 		g_queue_push_tail(&network->packets, packet);
 }
 
-static void packet_send(void *context, uint32_t address, const uint8_t *data,
-			size_t length)
+static void packet_transmit(struct node *node, uint32_t address,
+			    const uint8_t *data, size_t length)
 {
-	struct node *node = context;
 	struct network *network = node->network;
 	GRand *random = message_random(network, data);
 	bool is_drain = message_kind(data) == SHARING_ZONE_DRAINS;
 
-	ck_assert_uint_le(length, SHARING_DATAGRAM_BYTES + 500);
-	if (is_drain && node->is_previous_version)
-		return;
-	node->bytes_sent += length;
-	node->drain_messages += is_drain;
 	if (node->is_down || random_chance(random, network->loss_permille))
 		return;
 	if (is_drain && random_chance(random, network->drain_loss_permille))
@@ -98,6 +93,29 @@
 		packet_enqueue(node, address, data, length);
 }
 
+static void packet_send(void *context, uint32_t address, const uint8_t *data,
+			size_t length)
+{
+	struct node *node = context;
+	bool is_drain = message_kind(data) == SHARING_ZONE_DRAINS;
+	GByteArray *without_era = NULL;
+
+	ck_assert_uint_le(length, SHARING_DATAGRAM_BYTES + 500);
+	if (is_drain && node->is_previous_version)
+		return;
+	if (node->knows_no_eras)
+		without_era = network_era_remove(data, length);
+	node->bytes_sent += length;
+	node->drain_messages += is_drain;
+	if (without_era) {
+		data = without_era->data;
+		length = without_era->len;
+	}
+	packet_transmit(node, address, data, length);
+	if (without_era)
+		g_byte_array_unref(without_era);
+}
+
 static void routing_apply(void *context, struct routing *routing)
 {
 	struct node *node = context;
@@ -109,17 +127,18 @@
 			     const char *reason)
 {
 	struct node *node = context;
-	uint64_t revision;
+	struct store_position position;
 
 	(void)reason;
 	node->is_store_reader = is_store_reader;
 	/* The previous version did not know drains. */
-	revision = node->is_previous_version && sharing_is_synced(node->sharing)
-			   ? node->replica_status.revision
-			   : sharing_watch_revision(node->sharing);
-	if (is_store_reader && revision != 0 &&
-	    (!node->store_is_synced || revision > node->store_revision)) {
-		node->store_revision = revision;
+	position = node->is_previous_version && sharing_is_synced(node->sharing)
+			   ? node->replica_status.position
+			   : sharing_watch_position(node->sharing);
+	if (is_store_reader && position.revision != 0 &&
+	    (!node->store_is_synced ||
+	     store_position_is_before(node->store_position, position))) {
+		node->store_position = position;
 		node->store_is_synced = true;
 	}
 }
@@ -243,7 +262,7 @@
 	memset(&node->replica_status, 0, sizeof(node->replica_status));
 	node->store_is_synced = false;
 	node->has_slow_start = false;
-	node->store_revision = 0;
+	node->store_position = STORE_POSITION_NONE;
 	node->steering = steering_create(&steering_options);
 	steering_set_host_speed_weights(node->steering,
 					network->has_host_speeds);
@@ -269,6 +288,7 @@
 	network->random = g_rand_new_with_seed(7);
 	network->later_random = g_rand_new_with_seed(7);
 	network->outsider_data = g_byte_array_new();
+	network->store_position.era = STORE_ERA_FIRST;
 	network->node_count = nodes;
 	network->zone_count = zones;
 	for (uint32_t i = 0; i < nodes; i++) {
@@ -382,12 +402,19 @@
 		uint32_t index = packet->target - FIRST_ADDRESS;
 
 		g_queue_pop_head(&network->packets);
-		if (is_delivered(network, packet))
+		if (is_delivered(network, packet) &&
+		    network_is_understood(&network->nodes[index], packet->data))
 			packet_deliver(&network->nodes[index], packet);
 		packet_free(packet);
 	}
 }
 
+static void node_end_waits(struct node *node, int64_t now_ns)
+{
+	host_table_end_waits(steering_hosts(node->steering), now_ns);
+	zone_drains_end_waits(steering_zone_drains(node->steering), now_ns);
+}
+
 static void nodes_step(struct network *network, bool is_tick)
 {
 	int64_t now_ns = network->clock.now_ns;
@@ -405,6 +432,8 @@
 			node->listing_end_ns = 0;
 		if (node->synced_ns == 0 && network_node_is_synced(node))
 			node->synced_ns = now_ns;
+		if (is_tick)
+			node_end_waits(node, now_ns);
 		if (is_tick ||
 		    (!network_node_is_synced(node) &&
 		     network->elapsed_ms % SHARING_START_TICK_MS == 0))
@@ -432,47 +461,3 @@
 	network_publish_routes(network, 1, routes);
 	network_run(network, 5000);
 }
-
-struct node *network_find_reader(struct network *network, uint32_t zone)
-{
-	for (uint32_t i = zone; i < network->node_count;
-	     i += network->zone_count) {
-		if (network->nodes[i].is_store_reader &&
-		    !network->nodes[i].is_down)
-			return &network->nodes[i];
-	}
-	ck_abort_msg("no running node of the zone reads the store");
-	return NULL;
-}
-
-uint32_t network_node_index(const struct network *network,
-			    const struct node *node)
-{
-	return (uint32_t)(node - network->nodes);
-}
-
-uint32_t network_reader_count(const struct network *network)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < network->node_count; i++)
-		count += network->nodes[i].is_store_reader &&
-			 !network->nodes[i].is_down;
-	return count;
-}
-
-uint32_t network_synced_count(const struct network *network, uint64_t revision)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < network->node_count; i++) {
-		const struct node *node = &network->nodes[i];
-		const struct routing *routing =
-			steering_routing(node->steering);
-
-		count += !node->is_down && node->replica_status.is_complete &&
-			 node->replica_status.revision >= revision && routing &&
-			 routing->version >= network->routing->version;
-	}
-	return count;
-}
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -43,12 +43,15 @@
 	bool has_plain_routes_only;
 	/* Of the previous version: knows no messages about drained zones. */
 	bool is_previous_version;
-	/* The node watches the store from store_revision on. */
+	/* Of the build before this one: its messages have no eras. */
+	bool knows_no_eras;
+	/* The node watches the store from store_position on. */
 	bool store_is_synced; /* else it has to list */
 	bool has_slow_start; /* the test has set its slow-start limits */
-	uint64_t store_revision;
+	struct store_position store_position;
 	int64_t store_read_ns; /* last read of the store */
 	int64_t listing_end_ns; /* of its store listing; 0 for none */
+	uint64_t listing_era; /* of the store when it began */
 	int64_t start_ns; /* down until then; 0 if it was started */
 	int64_t synced_ns; /* when hosts and routes were received */
 	uint32_t store_calls;
@@ -68,7 +71,7 @@
 	uint32_t cold_ms; /* slow start of hosts that are published */
 	uint32_t listing_ms; /* time of a listing on the store's link */
 	int64_t link_free_ns; /* the store's link is busy until then */
-	uint64_t store_revision;
+	struct store_position store_position;
 	GArray *withdrawn; /* struct withdrawal */
 	GArray *drain_changes; /* struct drain_change, oldest first */
 	GPtrArray *hosts; /* published, struct host_announcement */
@@ -129,8 +132,24 @@
 uint32_t network_reader_count(const struct network *network);
 /** Number of nodes that are up and have @revision and the routes. */
 uint32_t network_synced_count(const struct network *network, uint64_t revision);
+/** Number of nodes that are up and have all that is published. */
+uint32_t network_current_count(const struct network *network);
 /** True if the node knows all hosts, any routes and, if it can, the drains. */
 bool network_node_is_synced(const struct node *node);
+/**
+ * The store, as it was when the copy was taken. Its positions have no era: the
+ * store tells its own with each response.
+ */
+struct store_copy;
+
+struct store_copy *network_copy_store(const struct network *network);
+void network_copy_destroy(struct store_copy *copy);
+/**
+ * The store comes back from the copy: its era rises, and revisions go back. The
+ * routes are published again, as the operator does.
+ */
+void network_restore_store(struct network *network,
+			   const struct store_copy *copy);
 /** A step of a node that reads the store. */
 void network_node_read(struct network *network, struct node *node);
 /** Lets a node read the store at once and push the changes. */
@@ -151,4 +170,12 @@
  */
 GByteArray *network_poll_downgrade(GByteArray *data);
 
+/**
+ * A message as a node of the build before this one sends it; NULL if it is the
+ * same.
+ */
+GByteArray *network_era_remove(const uint8_t *data, size_t length);
+/** False if the node is of the build before this one and ignores the message. */
+bool network_is_understood(const struct node *node, const GByteArray *data);
+
 #endif
--- a/tests/sharing/network_store.c
+++ b/tests/sharing/network_store.c
@@ -25,6 +25,36 @@
 	return revision;
 }
 
+/* The revision in the era of the store, as far as the node reads it. */
+static struct store_position position_read(const struct node *node,
+					   uint64_t revision)
+{
+	struct store_position position = node->network->store_position;
+
+	position.revision = revision;
+	if (node->knows_no_eras)
+		position.era = 0;
+	return position;
+}
+
+/*
+ * The store has no history of another era, nor after a revision that it has not
+ * given out yet.
+ */
+static bool has_history(const struct network *network, const struct node *node)
+{
+	struct store_position position =
+		position_read(node, network->store_position.revision);
+
+	return node->store_position.era == position.era &&
+	       node->store_position.revision <= position.revision;
+}
+
+static uint64_t revision_next(struct network *network)
+{
+	return ++network->store_position.revision;
+}
+
 /* A listing contains the requests that stand, a watch all changes. */
 static void drains_apply(const struct network *network, struct node *node,
 			 bool is_listing)
@@ -35,7 +65,9 @@
 	if (node->is_previous_version)
 		return;
 	if (is_listing)
-		zone_drains_listing_begin(drains, network->store_revision);
+		zone_drains_listing_begin(
+			drains,
+			position_read(node, network->store_position.revision));
 	for (guint i = 0; i < network->drain_changes->len; i++) {
 		const struct drain_change *change = &g_array_index(
 			network->drain_changes, struct drain_change, i);
@@ -45,10 +77,12 @@
 					  change->revision ==
 						  drain_revision(network,
 								 change->zone)
-				: change->revision > node->store_revision;
+				: change->revision >
+					  node->store_position.revision;
 
 		if (is_read)
-			zone_drains_set(drains, change->zone, change->revision,
+			zone_drains_set(drains, change->zone,
+					position_read(node, change->revision),
 					change->is_active, now_ns);
 	}
 	if (is_listing)
@@ -60,23 +94,27 @@
 				struct host_listing *listing)
 {
 	struct host_table *hosts = steering_hosts(node->steering);
-	uint64_t after = listing ? 0 : node->store_revision;
+	uint64_t after = listing ? 0 : node->store_position.revision;
 	int64_t now_ns = network->clock.now_ns;
 
 	for (guint i = 0; i < network->hosts->len; i++) {
-		const struct host_announcement *host =
-			g_ptr_array_index(network->hosts, i);
+		struct host_announcement host =
+			*(struct host_announcement *)g_ptr_array_index(
+				network->hosts, i);
 
-		if (host->revision > after)
-			host_listing_put(listing, hosts, host, now_ns);
+		host.position = position_read(node, host.position.revision);
+		if (host.position.revision > after)
+			host_listing_put(listing, hosts, &host, now_ns);
 	}
 	for (guint i = 0; !listing && i < network->withdrawn->len; i++) {
 		const struct withdrawal *withdrawal = &g_array_index(
 			network->withdrawn, struct withdrawal, i);
 
 		if (withdrawal->revision > after)
-			host_table_remove(hosts, withdrawal->id,
-					  withdrawal->revision, now_ns);
+			host_table_remove(
+				hosts, withdrawal->id,
+				position_read(node, withdrawal->revision),
+				now_ns);
 	}
 	drains_apply(network, node, listing != NULL);
 	if (network->routing && network->routing_revision > after)
@@ -86,15 +124,20 @@
 static void store_read(struct network *network, struct node *node)
 {
 	struct replica_status *replica_status = &node->replica_status;
-	bool is_newer = network->store_revision > replica_status->revision;
+	struct store_position position =
+		position_read(node, network->store_position.revision);
+	bool is_newer =
+		store_position_is_before(replica_status->position, position);
 	int64_t now_ns = network->clock.now_ns;
 	struct host_listing *listing = NULL;
 
 	node->store_calls++;
 	if (network->is_store_down || node->is_rejected)
 		return;
+	if (!has_history(network, node))
+		node->store_is_synced = false;
 	if (!node->store_is_synced)
-		listing = host_listing_create(network->store_revision);
+		listing = host_listing_create(position);
 	store_changes_apply(network, node, listing);
 	if (listing) {
 		host_listing_finish(listing, steering_hosts(node->steering),
@@ -103,15 +146,14 @@
 	}
 	host_listing_destroy(listing);
 	node->store_is_synced = true;
-	node->store_revision = network->store_revision;
+	node->store_position = position;
 	replica_status->is_complete = true;
-	replica_status->revision =
-		MAX(replica_status->revision, network->store_revision);
+	replica_status->position =
+		store_position_max(replica_status->position, position);
 	if (!node->is_previous_version) {
 		replica_status->has_zone_drains = true;
-		replica_status->zone_drains_revision =
-			MAX(replica_status->zone_drains_revision,
-			    network->store_revision);
+		replica_status->zone_drains_position = store_position_max(
+			replica_status->zone_drains_position, position);
 	}
 	replica_status->confirmed_ns = now_ns;
 	if (is_newer)
@@ -131,6 +173,13 @@
 		sharing_knows_zone_drains(node->sharing));
 }
 
+/* True for the first listing, and for that of a new era. */
+static bool node_lists(const struct network *network, const struct node *node)
+{
+	return !network_node_is_synced(node) ||
+	       (node->store_position.era != 0 && !has_history(network, node));
+}
+
 /*
  * Simulates a listing of several pages: the first page shows that there are
  * more, and the store's link transfers one listing after the other.
@@ -139,8 +188,12 @@
 {
 	int64_t now_ns = network->clock.now_ns;
 
-	if (network->listing_ms > 0 && !network_node_is_synced(node)) {
+	/* A page of another era than the first one's starts the listing again. */
+	if (node->listing_era != network->store_position.era)
+		node->listing_end_ns = 0;
+	if (network->listing_ms > 0 && node_lists(network, node)) {
 		if (node->listing_end_ns == 0) {
+			node->listing_era = network->store_position.era;
 			sharing_handle_first_page(node->sharing,
 						  network->hosts->len >
 							  STORE_PAGE_HOSTS);
@@ -188,7 +241,7 @@
 	host_id_print(number, id);
 	host = published_find(network, id);
 	g_strlcpy(host->service, service, sizeof(host->service));
-	host->revision = ++network->store_revision;
+	host->position.revision = revision_next(network);
 }
 
 uint64_t network_publish_host(struct network *network, uint32_t number,
@@ -211,8 +264,8 @@
 	host->slots = 2;
 	host->slow_start_ms = network->cold_ms;
 	host->is_draining = is_draining;
-	host->revision = ++network->store_revision;
-	return host->revision;
+	host->position.revision = revision_next(network);
+	return host->position.revision;
 }
 
 void network_withdraw_host(struct network *network, uint32_t number)
@@ -229,7 +282,7 @@
 		g_ptr_array_remove_index(network->hosts, i);
 		break;
 	}
-	withdrawal.revision = ++network->store_revision;
+	withdrawal.revision = revision_next(network);
 	g_array_append_val(network->withdrawn, withdrawal);
 }
 
@@ -239,7 +292,7 @@
 	struct drain_change change = { .is_active = is_active };
 
 	g_strlcpy(change.zone, zone, sizeof(change.zone));
-	change.revision = ++network->store_revision;
+	change.revision = revision_next(network);
 	g_array_append_val(network->drain_changes, change);
 	return change.revision;
 }
@@ -304,7 +357,7 @@
 	limit->slow_start_s = 8;
 	g_strlcpy(limit->service, service, NAME_BYTES_MAX);
 	routing_set_limits(network->routing, limit, 1);
-	network->routing_revision = ++network->store_revision;
+	network->routing_revision = revision_next(network);
 }
 
 void network_publish_routes(struct network *network, uint64_t version,
@@ -318,3 +371,59 @@
 {
 	routing_publish(network, version, 1, service);
 }
+
+struct store_copy {
+	uint64_t revision;
+	GArray *withdrawn;
+	GArray *drain_changes;
+	GPtrArray *hosts;
+};
+
+static gpointer host_duplicate(gconstpointer host, gpointer context)
+{
+	(void)context;
+	return g_memdup2(host, sizeof(struct host_announcement));
+}
+
+static GPtrArray *hosts_duplicate(GPtrArray *hosts)
+{
+	GPtrArray *copy = g_ptr_array_copy(hosts, host_duplicate, NULL);
+
+	g_ptr_array_set_free_func(copy, g_free);
+	return copy;
+}
+
+struct store_copy *network_copy_store(const struct network *network)
+{
+	struct store_copy *copy = g_new0(struct store_copy, 1);
+
+	copy->revision = network->store_position.revision;
+	copy->withdrawn = g_array_copy(network->withdrawn);
+	copy->drain_changes = g_array_copy(network->drain_changes);
+	copy->hosts = hosts_duplicate(network->hosts);
+	return copy;
+}
+
+void network_copy_destroy(struct store_copy *copy)
+{
+	if (!copy)
+		return;
+	g_array_unref(copy->withdrawn);
+	g_array_unref(copy->drain_changes);
+	g_ptr_array_unref(copy->hosts);
+	g_free(copy);
+}
+
+void network_restore_store(struct network *network,
+			   const struct store_copy *copy)
+{
+	g_array_unref(network->withdrawn);
+	network->withdrawn = g_array_copy(copy->withdrawn);
+	g_array_unref(network->drain_changes);
+	network->drain_changes = g_array_copy(copy->drain_changes);
+	g_ptr_array_unref(network->hosts);
+	network->hosts = hosts_duplicate(copy->hosts);
+	network->store_position.era++;
+	network->store_position.revision = copy->revision;
+	network->routing_revision = revision_next(network);
+}
--- a/tests/sharing/test_codec.c
+++ b/tests/sharing/test_codec.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "position.h"
 #include "sharing/replica.h"
 #include "sharing/routing_codec.h"
 #include "sharing/sharing_message.h"
@@ -19,7 +20,8 @@
 {
 	message->drains = g_array_new(FALSE, FALSE, sizeof(struct zone_drain));
 	for (uint32_t i = 0; i < count; i++) {
-		struct zone_drain drain = { .revision = G_MAXINT64 - i,
+		struct zone_drain drain = { .position = position_in(
+						    7, G_MAXINT64 - i),
 					    .is_active = i % 2 == 0 };
 
 		memset(drain.zone, (char)('0' + i), length);
@@ -42,7 +44,8 @@
 			(struct member_entry){ 0x0a000001, 77, 120, 4000, 700 };
 	}
 	if (kind == SHARING_POLL || kind == SHARING_UPDATE) {
-		message.revision = 400;
+		message.has_era = true;
+		message.position = position_in(7, 400);
 		message.routes_version = 12;
 		message.load_count = 1;
 		message.loads[0] = (struct host_load){ 0x1234, 5 };
@@ -62,9 +65,10 @@
 	if (kind == SHARING_LOOKUP_REQUEST)
 		message.token = 99;
 	if (kind == SHARING_ZONE_DRAINS) {
-		message.revision = 400;
+		message.has_era = true;
+		message.position = position_in(7, 400);
 		message.is_complete = true;
-		message.listed_revision = 300;
+		message.listed_position = position_in(7, 300);
 		drains_append(&message, 2, 1);
 	}
 	if (kind == SHARING_ZONE_LOADS) {
@@ -89,7 +93,7 @@
 {
 	struct host_update update = {
 		.is_removed = is_removed,
-		.host = { .id = "i-0a", .revision = 390 },
+		.host = { .id = "i-0a", .position = position_in(7, 390) },
 	};
 
 	if (!is_removed) {
@@ -137,7 +141,8 @@
 	ck_assert(
 		sharing_message_decode(bytes->data, bytes->len, &read, &error));
 	ck_assert_uint_eq(read.zone, 77);
-	ck_assert_uint_eq(read.revision, message.revision);
+	ck_assert(store_position_is_equal(read.position, message.position));
+	ck_assert(read.has_era == message.has_era);
 	ck_assert_uint_eq(read.routes_version, message.routes_version);
 	ck_assert_uint_eq(read.token, message.token);
 	ck_assert_uint_eq(read.replica_age_ms, message.replica_age_ms);
@@ -152,7 +157,8 @@
 	ck_assert_uint_eq(read.member_count, message.member_count);
 	ck_assert_uint_eq(read.load_count, message.load_count);
 	ck_assert(read.is_complete == message.is_complete);
-	ck_assert_uint_eq(read.listed_revision, message.listed_revision);
+	ck_assert(store_position_is_equal(read.listed_position,
+					  message.listed_position));
 	if (_i == SHARING_ZONE_DRAINS)
 		ck_assert_mem_eq(read.drains->data, message.drains->data,
 				 2 * sizeof(struct zone_drain));
@@ -189,6 +195,96 @@
 }
 END_TEST
 
+/*
+ * Guards against messages that members of the build before do not understand:
+ * without an era they are as ever, and an era takes 8 bytes at most.
+ */
+START_TEST(era_is_optional_and_short) {
+	static const enum sharing_message_kind kinds[] = {
+		SHARING_POLL,
+		SHARING_UPDATE,
+		SHARING_LOOKUP_RESPONSE,
+		SHARING_ZONE_DRAINS,
+	};
+	static const uint64_t eras[] = { 0, 1, 255, 256, UINT32_MAX };
+	struct sharing_message message = message_sample(kinds[_i / 5]);
+	struct sharing_message read;
+	GByteArray *without;
+	struct error error;
+	GByteArray *with;
+
+	message.position = position_in(eras[_i % 5], 400);
+	message.listed_position.era = eras[_i % 5];
+	message.has_era = false;
+	without = sharing_message_encode(&message);
+	message.has_era = true;
+	with = sharing_message_encode(&message);
+	ck_assert_uint_gt(with->len, without->len);
+	ck_assert_uint_le(with->len, without->len + 8);
+	ck_assert(sharing_message_decode(with->data, with->len, &read, &error));
+	ck_assert(read.has_era);
+	ck_assert(store_position_is_equal(read.position, message.position));
+	ck_assert_str_eq(read.cursor, message.cursor);
+	sharing_message_clear(&read);
+	ck_assert(sharing_message_decode(without->data, without->len, &read,
+					 &error));
+	ck_assert(!read.has_era);
+	ck_assert(store_position_is_equal(read.position, position_at(400)));
+	ck_assert_str_eq(read.cursor, message.cursor);
+	sharing_message_clear(&read);
+	sharing_message_clear(&message);
+	g_byte_array_unref(without);
+	g_byte_array_unref(with);
+}
+END_TEST
+
+/* The cursor as it is in a datagram, and what it says. */
+START_TEST(era_follows_the_cursor) {
+	static const struct {
+		const char *bytes;
+		size_t length;
+		bool is_valid;
+		bool has_era;
+		uint64_t era;
+	} cases[] = {
+		{ "i-1", 3, true, false, 0 },
+		{ "i-1\0", 4, true, true, 0 },
+		{ "i-1\0\7", 5, true, true, 7 },
+		{ "\0\1\0", 3, true, true, 256 },
+		{ "\0\1\2\3\4\5\6\7\10", 9, true, true, 0x0102030405060708 },
+		{ "\0\1\2\3\4\5\6\7\10\11", 10, false, false, 0 },
+	};
+	GByteArray *bytes = g_byte_array_new();
+	struct sharing_message read;
+	struct field_writer writer;
+	struct error error;
+	bool is_valid;
+
+	field_writer_init(&writer, bytes, 10);
+	field_write_uint(&writer, 2);
+	field_write_uint(&writer, SHARING_POLL);
+	field_write_uint(&writer, 77);
+	field_write_uint(&writer, 250);
+	field_write_uint(&writer, 400);
+	field_write_uint(&writer, 12);
+	field_write_uint(&writer, 1);
+	field_write_bytes(&writer, cases[_i].bytes, cases[_i].length);
+	field_write_uint(&writer, 0);
+	field_write_bytes(&writer, "", 0);
+	is_valid =
+		sharing_message_decode(bytes->data, bytes->len, &read, &error);
+	ck_assert(is_valid == cases[_i].is_valid);
+	if (is_valid) {
+		ck_assert(read.has_era == cases[_i].has_era);
+		ck_assert_uint_eq(read.position.era, cases[_i].era);
+		ck_assert_uint_eq(strlen(read.cursor),
+				  strnlen(cases[_i].bytes, cases[_i].length));
+		sharing_message_clear(&read);
+	}
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
 /* Guards against a state of drained zones that fits in no datagram. */
 START_TEST(largest_state_of_drains_fits) {
 	static const struct {
@@ -204,10 +300,11 @@
 		.kind = SHARING_ZONE_DRAINS,
 		.zone = UINT32_MAX,
 		.capacity = UINT16_MAX,
-		.revision = G_MAXINT64,
+		.has_era = true,
+		.position = position_in(G_MAXINT64, G_MAXINT64),
 		.is_complete = true,
 		.is_reply = true,
-		.listed_revision = G_MAXINT64,
+		.listed_position = position_in(G_MAXINT64, G_MAXINT64),
 	};
 	struct sharing_message read;
 	struct error error;
@@ -342,6 +439,8 @@
 
 	tcase_add_loop_test(cases, messages_are_decoded_as_encoded,
 			    SHARING_GOSSIP_REQUEST, SHARING_KINDS);
+	tcase_add_loop_test(cases, era_is_optional_and_short, 0, 20);
+	tcase_add_loop_test(cases, era_follows_the_cursor, 0, 6);
 	tcase_add_loop_test(cases, largest_state_of_drains_fits, 0, 2);
 	tcase_add_loop_test(cases, invalid_drains_are_rejected, 0, 10);
 	tcase_add_loop_test(cases, partial_zone_loads_are_rejected, 0, 6);
--- a/tests/sharing/test_drains_versions.c
+++ b/tests/sharing/test_drains_versions.c
@@ -92,7 +92,8 @@
 		.kind = SHARING_ZONE_DRAINS,
 		.zone = zone_hash(node->zone),
 		.is_complete = is_complete,
-		.revision = 1,
+		.has_era = true,
+		.position = network.store_position,
 	};
 	GByteArray *bytes = sharing_message_encode(&message);
 
--- a/tests/sharing/test_encodings.c
+++ b/tests/sharing/test_encodings.c
@@ -74,7 +74,7 @@
 			.kind = SHARING_POLL,
 			.zone = zone_hash("a"),
 			.capacity = 100,
-			.revision = network.store_revision,
+			.position.revision = network.store_position.revision,
 			.routes_version = held_version,
 			.chunk = chunk,
 		};
--- a/tests/sharing/test_explore.c
+++ b/tests/sharing/test_explore.c
@@ -188,11 +188,11 @@
 	if (host->is_removed) {
 		applied_state->removed_revisions[number] =
 			MAX(applied_state->removed_revisions[number],
-			    host->removed_revision);
+			    host->removed_position.revision);
 		return;
 	}
 	ck_assert_msg(applied_state->removed_revisions[number] <
-				      host->published.revision ||
+				      host->published.position.revision ||
 			      applied_state->removed_revisions[number] == 0,
 		      "seed %u: removed host %" PRIu64 " was restored", seed,
 		      number);
@@ -209,11 +209,12 @@
 	for (size_t i = 0; i < count; i++) {
 		size_t zone = (size_t)(entries[i].zone[0] - 'a');
 
-		ck_assert_msg(entries[i].revision >=
+		ck_assert_msg(entries[i].position.revision >=
 				      applied_state->drain_revisions[zone],
 			      "seed %u: drain of zone %s was reverted", seed,
 			      entries[i].zone);
-		applied_state->drain_revisions[zone] = entries[i].revision;
+		applied_state->drain_revisions[zone] =
+			entries[i].position.revision;
 	}
 }
 
@@ -280,8 +281,9 @@
 	text = json_to_string(root, FALSE);
 	printf("node %u: revision=%" PRIu64 " of %" PRIu64
 	       " routes_version=%" PRIu64 " of %" PRIu64 " sharing=%s\n",
-	       index, node->replica_status.revision, network.store_revision,
-	       routing ? routing->version : 0, network.routing->version, text);
+	       index, node->replica_status.position.revision,
+	       network.store_position.revision, routing ? routing->version : 0,
+	       network.routing->version, text);
 	g_free(text);
 	json_node_unref(root);
 	g_object_unref(builder);
@@ -292,7 +294,8 @@
 	const struct routing *routing = steering_routing(node->steering);
 
 	return !routing || routing->version < network.routing->version ||
-	       node->replica_status.revision < network.store_revision;
+	       node->replica_status.position.revision <
+		       network.store_position.revision;
 }
 
 static bool node_reads(const struct node *node)
@@ -335,15 +338,15 @@
 
 		if (!host->is_removed && !host_is_published(host->published.id))
 			printf("withdrawn host %s revision=%" PRIu64 "\n",
-			       host->published.id, host->published.revision);
+			       host->published.id,
+			       host->published.position.revision);
 	}
 	fflush(stdout);
 }
 
 static void convergence_check(uint32_t seed)
 {
-	uint32_t synced =
-		network_synced_count(&network, network.store_revision);
+	uint32_t synced = network_current_count(&network);
 
 	if (synced != network.node_count)
 		nodes_print(node_is_unsynced);
--- a/tests/sharing/test_replica.c
+++ b/tests/sharing/test_replica.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "position.h"
 #include "sharing/replica.h"
 #include "suite.h"
 
@@ -66,7 +67,7 @@
 			  .zone = "a",
 			  .port = 80,
 			  .slots = 2,
-			  .revision = revision },
+			  .position = position_at(revision) },
 	};
 	struct sharing_message message = { .kind = SHARING_UPDATE };
 
@@ -105,14 +106,16 @@
 START_TEST(removal_of_an_unknown_host_is_passed_on) {
 	struct sharing_message message = { .kind = SHARING_UPDATE };
 	struct host_table *table = table_create();
+	const struct position_range range = { position_at(55),
+					      position_at(60) };
 	const struct host_update *update;
 
 	change_apply(table, 60, true);
-	replica_fill_changes(table, 55, "", 60, NOW_NS, &message);
+	replica_fill_changes(table, &range, "", NOW_NS, &message);
 	ck_assert_uint_eq(message.hosts->len, 1);
 	update = &g_array_index(message.hosts, struct host_update, 0);
 	ck_assert(update->is_removed);
-	ck_assert_uint_eq(update->host.revision, 60);
+	ck_assert_uint_eq(update->host.position.revision, 60);
 	sharing_message_clear(&message);
 	host_table_destroy(table);
 }
@@ -122,11 +125,14 @@
 static void member_ask(struct host_table *table, bool is_listing,
 		       struct sharing_message *message)
 {
+	const struct position_range range = { position_at(40),
+					      position_at(60) };
+
 	message->kind = SHARING_UPDATE;
 	if (is_listing)
-		replica_fill_listing(table, "", 60, NOW_NS, message);
+		replica_fill_listing(table, "", range.last, NOW_NS, message);
 	else
-		replica_fill_changes(table, 40, "", 60, NOW_NS, message);
+		replica_fill_changes(table, &range, "", NOW_NS, message);
 }
 
 /*
@@ -147,9 +153,9 @@
 	replica_apply(member, NULL, &message, NOW_NS);
 	host = host_table_find(member, HOST_ID);
 	ck_assert_str_eq(host->published.service, SERVICE);
-	ck_assert_uint_eq(host->published.revision, 50);
+	ck_assert_uint_eq(host->published.position.revision, 50);
 	ck_assert_str_eq(host->deferred->service, UNUSED_SERVICE);
-	ck_assert_uint_eq(host->deferred->revision, 60);
+	ck_assert_uint_eq(host->deferred->position.revision, 60);
 	sharing_message_clear(&message);
 	host_table_destroy(member);
 	host_table_destroy(table);
@@ -164,7 +170,7 @@
 
 	for (uint32_t i = 0; i < REMOVED_HOSTS; i++) {
 		g_snprintf(id, sizeof(id), "i-%04x", 0x100 + i);
-		host_table_remove(table, id, 60, NOW_NS);
+		host_table_remove(table, id, position_at(60), NOW_NS);
 	}
 }
 
@@ -178,14 +184,17 @@
 	struct host_table *member = table_create();
 	char cursor[HOST_ID_BYTES_MAX + 1] = "";
 	uint32_t messages = 0;
+	const struct position_range range = { position_at(40),
+					      position_at(60) };
 
 	hosts_remove(table);
 	change_apply(table, 50, false);
 	do {
 		message.kind = SHARING_UPDATE;
-		replica_fill_changes(table, 40, cursor, 60, NOW_NS, &message);
+		replica_fill_changes(table, &range, cursor, NOW_NS, &message);
 		replica_apply(member, NULL, &message, NOW_NS);
-		ck_assert_uint_eq(message.revision, message.has_more ? 40 : 60);
+		ck_assert_uint_eq(message.position.revision,
+				  message.has_more ? 40 : 60);
 		g_strlcpy(cursor, message.cursor, sizeof(cursor));
 		sharing_message_clear(&message);
 	} while (message.has_more && ++messages < REMOVED_HOSTS);
@@ -204,15 +213,17 @@
  * has only the newest ones, from a member that is in the middle of a transfer.
  */
 START_TEST(changes_above_the_own_revision_are_not_passed_on) {
+	const struct position_range range = { position_at(40),
+					      position_at(55) };
 	struct sharing_message message = { .kind = SHARING_UPDATE };
 	struct host_table *table = table_create();
 
 	change_apply(table, 50, false);
 	hosts_remove(table);
-	replica_fill_changes(table, 40, "", 55, NOW_NS, &message);
+	replica_fill_changes(table, &range, "", NOW_NS, &message);
 	ck_assert_uint_eq(message.hosts->len, 1);
 	ck_assert(!message.has_more);
-	ck_assert_uint_eq(message.revision, 55);
+	ck_assert_uint_eq(message.position.revision, 55);
 	sharing_message_clear(&message);
 	host_table_destroy(table);
 }
--- a/tests/sharing/test_sharing.c
+++ b/tests/sharing/test_sharing.c
@@ -78,8 +78,7 @@
 	service_check(7, "examen");
 	network_publish_route(&network, 2, "archive");
 	network_run(&network, 1000);
-	ck_assert_uint_eq(
-		network_synced_count(&network, network.store_revision), NODES);
+	ck_assert_uint_eq(network_current_count(&network), NODES);
 	service_check(7, "archive");
 }
 END_TEST
@@ -118,8 +117,7 @@
 		network.nodes[i].store_is_synced = false;
 	network_run(&network, 3000);
 	ck_assert_uint_eq(network_reader_count(&network), ZONES);
-	ck_assert_uint_eq(
-		network_synced_count(&network, network.store_revision), NODES);
+	ck_assert_uint_eq(network_current_count(&network), NODES);
 	for (uint32_t i = 0; i < NODES; i++)
 		ck_assert_uint_eq(host_table_count(steering_hosts(
 					  network.nodes[i].steering)),
--- a/tests/steering/fixture.c
+++ b/tests/steering/fixture.c
@@ -1,4 +1,5 @@
 #include "fixture.h"
+#include "position.h"
 
 #include <check.h>
 #include <string.h>
@@ -190,7 +191,7 @@
 		.slots = 2,
 		.started_ms = 1,
 		.service = "examen",
-		.revision = fixture->revision++,
+		.position = position_at(fixture->revision++),
 	};
 	char address[IP_ADDRESS_TEXT_BYTES];
 
@@ -219,7 +220,7 @@
 void fixture_drain(struct fixture *fixture, const char *zone, bool is_active)
 {
 	ck_assert(zone_drains_set(steering_zone_drains(fixture->steering), zone,
-				  fixture->revision++, is_active,
+				  position_at(fixture->revision++), is_active,
 				  fixture->clock.now_ns));
 }
 
@@ -227,7 +228,8 @@
 {
 	host_table_remove(steering_hosts(fixture->steering),
 			  fixture_host(fixture, number)->published.id,
-			  fixture->revision++, fixture->clock.now_ns);
+			  position_at(fixture->revision++),
+			  fixture->clock.now_ns);
 }
 
 bool fixture_route(struct fixture *fixture, uint64_t version, bool has_route)
--- a/tests/steering/test_foreign_entries.c
+++ b/tests/steering/test_foreign_entries.c
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "fixture.h"
+#include "position.h"
 #include "suite.h"
 
 /* Entries that a program writes and removes again. */
@@ -39,7 +40,7 @@
 
 	g_strlcpy(entry.id, "agent-77", sizeof(entry.id));
 	g_strlcpy(entry.service, "archive", sizeof(entry.service));
-	entry.revision = fixture.revision++;
+	entry.position = position_at(fixture.revision++);
 	entry.started_ms++;
 	return entry;
 }
@@ -113,7 +114,7 @@
 	ck_assert_str_eq(host_table_find_token(table(), token)->published.id,
 			 ids[0]);
 	ck_assert(!host_table_find(table(), ids[0])->has_token_conflict);
-	host_table_remove(table(), ids[1], fixture.revision + 10,
+	host_table_remove(table(), ids[1], position_at(fixture.revision + 10),
 			  fixture.clock.now_ns);
 	steering_tick(fixture.steering);
 	ck_assert_str_eq(host_table_find_token(table(), token)->published.id,
@@ -183,15 +184,16 @@
  * written and removed, and against members that never learn of the removals.
  */
 START_TEST(removed_entries_take_little_memory) {
-	uint64_t oldest_revision = host_table_oldest_revision(table());
+	struct store_position oldest = host_table_oldest_position(table());
 	struct host_announcement entry = entry_at(fixture_host(&fixture, 1));
 
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		g_snprintf(entry.id, sizeof(entry.id), "agent-%08x", i + 1);
 		g_snprintf(entry.service, sizeof(entry.service), "job-%u", i);
-		entry.revision = fixture.revision++;
+		entry.position = position_at(fixture.revision++);
 		fixture_put(&fixture, &entry);
-		host_table_remove(table(), entry.id, fixture.revision++,
+		host_table_remove(table(), entry.id,
+				  position_at(fixture.revision++),
 				  fixture.clock.now_ns);
 	}
 	steering_tick(fixture.steering);
@@ -200,7 +202,8 @@
 	ck_assert_uint_eq(
 		g_hash_table_size(host_table_unknown_removals(table())),
 		ENTRIES);
-	ck_assert_uint_eq(host_table_oldest_revision(table()), oldest_revision);
+	ck_assert(store_position_is_equal(host_table_oldest_position(table()),
+					  oldest));
 }
 END_TEST
 
@@ -209,12 +212,13 @@
 	struct host_announcement entry = entry_at(fixture_host(&fixture, 1));
 
 	fixture_put(&fixture, &entry);
-	host_table_remove(table(), entry.id, entry.revision + 5,
+	host_table_remove(table(), entry.id,
+			  position_at(entry.position.revision + 5),
 			  fixture.clock.now_ns);
 	steering_tick(fixture.steering);
 	fixture_put(&fixture, &entry);
 	ck_assert_ptr_null(host_table_find(table(), entry.id));
-	entry.revision += 6;
+	entry.position.revision += 6;
 	fixture_put(&fixture, &entry);
 	ck_assert(!host_table_find(table(), entry.id)->is_removed);
 }
@@ -225,7 +229,8 @@
  * another program.
  */
 START_TEST(unreadable_entry_removes_no_host) {
-	struct host_listing *listing = host_listing_create(fixture.revision);
+	struct host_listing *listing =
+		host_listing_create(position_at(fixture.revision));
 
 	host_listing_keep(listing, "i-01");
 	host_listing_keep(listing, "i-02");
--- a/tests/steering/test_host_evidence.c
+++ b/tests/steering/test_host_evidence.c
@@ -6,6 +6,7 @@
 #include <check.h>
 
 #include "fixture.h"
+#include "position.h"
 #include "suite.h"
 
 /* Port of a flow that was quiet while its host was cut off. */
@@ -38,7 +39,7 @@
 	struct host_announcement announcement = host->published;
 
 	announcement.is_draining = true;
-	announcement.revision = fixture.revision++;
+	announcement.position = position_at(fixture.revision++);
 	fixture_put(&fixture, &announcement);
 }
 
--- a/tests/steering/test_host_probes.c
+++ b/tests/steering/test_host_probes.c
@@ -6,6 +6,7 @@
 #include <check.h>
 
 #include "fixture.h"
+#include "position.h"
 #include "suite.h"
 
 static struct fixture fixture;
@@ -149,8 +150,8 @@
 	g_strlcpy(other.id, "i-77", sizeof(other.id));
 	g_strlcpy(other.service, "archive", sizeof(other.service));
 	other.target_id = 77;
-	other.revision =
-		(uint64_t)((int64_t)other.revision + cases[_i].revision);
+	other.position.revision = (uint64_t)((int64_t)other.position.revision +
+					     cases[_i].revision);
 	other.started_ms =
 		(uint64_t)((int64_t)other.started_ms + cases[_i].started_ms);
 	if (cases[_i].is_routed)
@@ -158,7 +159,8 @@
 	fixture_put(&fixture, &other);
 	if (cases[_i].is_removed)
 		host_table_remove(steering_hosts(fixture.steering), other.id,
-				  other.revision + 1, fixture.clock.now_ns);
+				  position_at(other.position.revision + 1),
+				  fixture.clock.now_ns);
 	packet_data_retransmit(&fixture, 1, host->token, 2);
 	fixture_probe(&fixture, host, PROBE_RESULT_UP);
 	ck_assert_uint_eq(fixture.reset_count, cases[_i].resets);
--- a/tests/steering/test_host_table.c
+++ b/tests/steering/test_host_table.c
@@ -7,6 +7,7 @@
 #include <check.h>
 
 #include "fixture.h"
+#include "position.h"
 #include "suite.h"
 
 static struct fixture fixture;
@@ -45,9 +46,9 @@
 
 	fixture_put(&fixture, &kept);
 	fixture_put(&fixture, &lost);
-	listing = host_listing_create(fixture.revision);
+	listing = host_listing_create(position_at(fixture.revision));
 	late = fixture_announcement(&fixture, 3, "a");
-	late.revision += 10;
+	late.position.revision += 10;
 	listing_put(listing, &kept);
 	fixture_put(&fixture, &late);
 	listing_finish(listing);
@@ -73,10 +74,10 @@
 		hosts[i] = fixture_announcement(&fixture, 1 + i, "a");
 		fixture_put(&fixture, &hosts[i]);
 	}
-	first = host_listing_create(fixture.revision);
+	first = host_listing_create(position_at(fixture.revision));
 	listing_put(first, &hosts[0]);
 	listing_put(first, &hosts[1]);
-	second = host_listing_create(fixture.revision);
+	second = host_listing_create(position_at(fixture.revision));
 	listing_put(second, &hosts[0]);
 	listing_put(first, &hosts[2]);
 	listing_put(first, &hosts[3]);
@@ -104,8 +105,9 @@
 	host = host_table_next(table, "i-02");
 	ck_assert_str_eq(host->published.id, "i-04");
 	ck_assert_ptr_null(host_table_next(table, "i-05"));
-	ck_assert_uint_eq(host_table_newest_revision(table),
-			  fixture_host(&fixture, 3)->removed_revision);
+	ck_assert(store_position_is_equal(
+		host_table_newest_position(table),
+		fixture_host(&fixture, 3)->removed_position));
 }
 END_TEST
 
@@ -118,9 +120,10 @@
 	fixture_put(&fixture, &newer);
 	fixture_put(&fixture, &older);
 	ck_assert(fixture_host(&fixture, 1)->published.is_draining);
-	host_table_remove(table, "i-01", older.revision, fixture.clock.now_ns);
+	host_table_remove(table, "i-01", older.position, fixture.clock.now_ns);
 	ck_assert(!fixture_host(&fixture, 1)->is_removed);
-	host_table_remove(table, "i-01", newer.revision + 1,
+	host_table_remove(table, "i-01",
+			  position_at(newer.position.revision + 1),
 			  fixture.clock.now_ns);
 	fixture_put(&fixture, &newer);
 	ck_assert(fixture_host(&fixture, 1)->is_removed);
@@ -136,8 +139,10 @@
 	struct host_table *table = steering_hosts(fixture.steering);
 	struct host_announcement ended = fixture_announcement(&fixture, 1, "a");
 	struct host_announcement kept = fixture_announcement(&fixture, 2, "a");
-	struct host_listing *older = host_listing_create(fixture.revision);
-	struct host_listing *newer = host_listing_create(fixture.revision + 5);
+	struct host_listing *older =
+		host_listing_create(position_at(fixture.revision));
+	struct host_listing *newer =
+		host_listing_create(position_at(fixture.revision + 5));
 
 	listing_put(newer, &kept);
 	listing_finish(newer);
@@ -152,11 +157,12 @@
 	 * Restored from a member that still knows it: it gets packets of open
 	 * flows, but no new flows.
 	 */
-	host_table_restore(table, &ended, 0, fixture.clock.now_ns);
+	host_table_restore(table, &ended, STORE_POSITION_NONE,
+			   fixture.clock.now_ns);
 	ck_assert(fixture_host(&fixture, 1)->is_removed);
 	ck_assert_uint_eq(host_table_count(table), 1);
 	/* A newer listing may contain a host that an earlier one missed. */
-	ended.revision += 20;
+	ended.position.revision += 20;
 	fixture_put(&fixture, &ended);
 	ck_assert(!fixture_host(&fixture, 1)->is_removed);
 }
@@ -171,19 +177,20 @@
 	struct host_announcement host = fixture_announcement(&fixture, 1, "a");
 	int64_t now_ns = fixture.clock.now_ns;
 
-	host_table_remove(table, "i-01", host.revision + 10, now_ns);
+	host_table_remove(table, "i-01",
+			  position_at(host.position.revision + 10), now_ns);
 	fixture_put(&fixture, &host);
 	ck_assert_ptr_null(fixture_host(&fixture, 1));
 	/* Its token is to be looked up, as other members may know the host. */
 	packet_data(&fixture, 1, host_token("i-01"), 500, 1000);
 	ck_assert_uint_eq(fixture.lookup_count, 1);
-	host_table_restore(table, &host, 0, now_ns);
+	host_table_restore(table, &host, STORE_POSITION_NONE, now_ns);
 	ck_assert(fixture_host(&fixture, 1)->is_removed);
-	ck_assert_uint_eq(fixture_host(&fixture, 1)->removed_revision,
-			  host.revision + 10);
+	ck_assert_uint_eq(fixture_host(&fixture, 1)->removed_position.revision,
+			  host.position.revision + 10);
 	ck_assert_uint_eq(host_table_count(table), 0);
 	/* The id is published again. */
-	host.revision += 20;
+	host.position.revision += 20;
 	fixture_put(&fixture, &host);
 	ck_assert_uint_eq(host_table_count(table), 1);
 }
@@ -194,7 +201,7 @@
 	struct host_table *table = steering_hosts(fixture.steering);
 	int64_t now_ns = fixture.clock.now_ns;
 
-	host_table_remove(table, "i-01", 500, now_ns);
+	host_table_remove(table, "i-01", position_at(500), now_ns);
 	host_table_expire(table, now_ns - 1);
 	ck_assert_uint_eq(g_hash_table_size(host_table_unknown_removals(table)),
 			  1);
@@ -202,7 +209,7 @@
 	ck_assert_uint_eq(g_hash_table_size(host_table_unknown_removals(table)),
 			  0);
 	/* Who is behind it has to list. */
-	ck_assert_uint_eq(host_table_oldest_revision(table), 500);
+	ck_assert_uint_eq(host_table_oldest_position(table).revision, 500);
 }
 END_TEST
 
@@ -221,12 +228,12 @@
 	foreign = own;
 	foreign.started_ms += 1000;
 	foreign.port++;
-	foreign.revision += 10;
+	foreign.position.revision += 10;
 	g_strlcpy(foreign.service, "elsewhere", sizeof(foreign.service));
 	fixture_put(&fixture, &foreign);
 	ck_assert_str_eq(host->published.service, own.service);
 	ck_assert_uint_eq(host->published.port, own.port);
-	own.revision += 20;
+	own.position.revision += 20;
 	fixture_put(&fixture, &own);
 	ck_assert_uint_eq(fixture.reset_count, 0);
 	ck_assert_uint_eq(host->open_flows, 1);
@@ -264,7 +271,8 @@
 			 ids[0]);
 	for (uint32_t i = 0; i < 2; i++)
 		ck_assert(host_table_find(table, ids[i])->has_token_conflict);
-	host_table_remove(table, ids[0], fixture.revision + 10, start_ns);
+	host_table_remove(table, ids[0], position_at(fixture.revision + 10),
+			  start_ns);
 	host_table_expire(table, start_ns);
 	ck_assert_str_eq(host_table_find_token(table, token)->published.id,
 			 ids[1]);
--- a/tests/steering/test_service_change.c
+++ b/tests/steering/test_service_change.c
@@ -6,6 +6,7 @@
 #include <check.h>
 
 #include "fixture.h"
+#include "position.h"
 #include "suite.h"
 
 static struct fixture fixture;
@@ -34,7 +35,7 @@
 START_TEST(announcement_before_its_routes_is_applied_with_them) {
 	struct host_announcement moved = fixture_host(&fixture, 1)->published;
 
-	moved.revision += 10;
+	moved.position.revision += 10;
 	g_strlcpy(moved.service, "archive", sizeof(moved.service));
 	fixture_put(&fixture, &moved);
 	route_to(100, "archive");
@@ -74,26 +75,30 @@
 	struct host_announcement moved = own;
 	int64_t now_ns = fixture.clock.now_ns;
 
-	moved.revision += 20;
+	moved.position.revision += 20;
 	g_strlcpy(moved.service, "archive", sizeof(moved.service));
 	fixture_put(&fixture, &moved);
 	ck_assert_str_eq(host->published.service, "examen");
 	switch (cases[_i].interlude) {
 	case OWN_ANNOUNCEMENT:
-		own.revision += 30;
+		own.position.revision += 30;
 		fixture_put(&fixture, &own);
 		break;
 	case LATE_REMOVAL:
-		host_table_remove(table, own.id, own.revision + 10, now_ns);
+		host_table_remove(table, own.id,
+				  position_at(own.position.revision + 10),
+				  now_ns);
 		break;
 	case REMOVAL:
-		host_table_remove(table, own.id, own.revision + 30, now_ns);
+		host_table_remove(table, own.id,
+				  position_at(own.position.revision + 30),
+				  now_ns);
 		break;
 	case OTHER_ROUTES:
 		route_to(99, "examen");
 		break;
 	case LATE_ANNOUNCEMENT:
-		own.revision += 10;
+		own.position.revision += 10;
 		fixture_put(&fixture, &own);
 		break;
 	}
@@ -116,7 +121,7 @@
 	fixture_publish(&fixture, 1, "a");
 	host = fixture_host(&fixture, 1);
 	moved = host->published;
-	moved.revision += 10;
+	moved.position.revision += 10;
 	g_strlcpy(moved.service, "archive", sizeof(moved.service));
 	fixture_put(&fixture, &moved);
 	route_to(100, "examen");
--- a/tests/steering/test_zone_drains.c
+++ b/tests/steering/test_zone_drains.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "position.h"
 #include "steering/zone_drains.h"
 #include "suite.h"
 
@@ -42,15 +43,16 @@
 	entries = zone_drains_entries(drains, &count);
 	for (size_t i = 0; i < count; i++) {
 		if (strcmp(entries[i].zone, zone) == 0)
-			ck_assert_uint_eq(entries[i].revision, revision);
+			ck_assert_uint_eq(entries[i].position.revision,
+					  revision);
 	}
 }
 
 /* Request, withdrawal, request, withdrawal. */
 static void change_apply(struct zone_drains *drains, uint32_t number)
 {
-	ck_assert(zone_drains_set(drains, "a", 10 + number, number % 2 == 0,
-				  NOW_NS));
+	ck_assert(zone_drains_set(drains, "a", position_at(10 + number),
+				  number % 2 == 0, NOW_NS));
 }
 
 /*
@@ -85,13 +87,13 @@
 START_TEST(changes_are_reported_once) {
 	struct zone_drains *drains = drains_create();
 
-	zone_drains_set(drains, "a", 10, true, NOW_NS);
-	zone_drains_set(drains, "a", 10, true, NOW_NS);
-	zone_drains_set(drains, "a", 11, true, NOW_NS);
-	zone_drains_set(drains, "b", 11, false, NOW_NS);
+	zone_drains_set(drains, "a", position_at(10), true, NOW_NS);
+	zone_drains_set(drains, "a", position_at(10), true, NOW_NS);
+	zone_drains_set(drains, "a", position_at(11), true, NOW_NS);
+	zone_drains_set(drains, "b", position_at(11), false, NOW_NS);
 	ck_assert_uint_eq(change_count, 1);
-	zone_drains_set(drains, "a", 12, false, NOW_NS);
-	zone_drains_set(drains, "a", 9, true, NOW_NS);
+	zone_drains_set(drains, "a", position_at(12), false, NOW_NS);
+	zone_drains_set(drains, "a", position_at(9), true, NOW_NS);
 	ck_assert_uint_eq(change_count, 2);
 	ck_assert_uint_eq(zone_drains_active_count(drains), 0);
 	zone_drains_destroy(drains);
@@ -125,17 +127,17 @@
 	struct zone_drains *drains = drains_create();
 
 	if (listings[_i].revision != 0)
-		zone_drains_set(drains, "a", listings[_i].revision,
+		zone_drains_set(drains, "a", position_at(listings[_i].revision),
 				listings[_i].is_active, NOW_NS);
-	zone_drains_listing_begin(drains, 20);
+	zone_drains_listing_begin(drains, position_at(20));
 	if (listings[_i].listed == PRESENT)
-		zone_drains_set(drains, "a", 15, true, NOW_NS);
+		zone_drains_set(drains, "a", position_at(15), true, NOW_NS);
 	if (listings[_i].listed == UNUSABLE)
 		zone_drains_ignore(drains, "a");
 	zone_drains_listing_end(drains, NOW_NS);
 	state_check(drains, "a", listings[_i].revision_after,
 		    listings[_i].is_active_after);
-	ck_assert_uint_eq(zone_drains_listed_revision(drains),
+	ck_assert_uint_eq(zone_drains_listed_position(drains).revision,
 			  listings[_i].listed_revision);
 	zone_drains_destroy(drains);
 }
@@ -145,11 +147,11 @@
 START_TEST(interrupted_listing_withdraws_nothing) {
 	struct zone_drains *drains = drains_create();
 
-	zone_drains_set(drains, "a", 10, true, NOW_NS);
-	zone_drains_listing_begin(drains, 20);
+	zone_drains_set(drains, "a", position_at(10), true, NOW_NS);
+	zone_drains_listing_begin(drains, position_at(20));
 	ck_assert(zone_drains_is_active(drains, "a"));
-	zone_drains_listing_begin(drains, 30);
-	zone_drains_set(drains, "a", 10, true, NOW_NS);
+	zone_drains_listing_begin(drains, position_at(30));
+	zone_drains_set(drains, "a", position_at(10), true, NOW_NS);
 	zone_drains_listing_end(drains, NOW_NS);
 	ck_assert(zone_drains_is_active(drains, "a"));
 	ck_assert_uint_eq(change_count, 1);
@@ -174,23 +176,27 @@
 {
 	struct zone_drains *drains = drains_create();
 	struct zone_drain entry = { .zone = "a",
-				    .revision = state->revision,
+				    .position = position_at(state->revision),
 				    .is_active = state->is_active };
+	struct zone_drains_state merged = { 0 };
 
-	zone_drains_merge(drains, &entry, state->revision != 0,
-			  state->listed_revision, NOW_NS);
+	merged.entries = &entry;
+	merged.count = state->revision != 0;
+	merged.listed_position = position_at(state->listed_revision);
+	zone_drains_merge(drains, &merged, NOW_NS);
 	return drains;
 }
 
 static void state_merge(struct zone_drains *drains,
 			const struct zone_drains *other)
 {
-	const struct zone_drain *entries;
-	size_t count;
+	struct zone_drains_state state = {
+		.era = zone_drains_era(other),
+		.listed_position = zone_drains_listed_position(other),
+	};
 
-	entries = zone_drains_entries(other, &count);
-	zone_drains_merge(drains, entries, count,
-			  zone_drains_listed_revision(other), NOW_NS);
+	state.entries = zone_drains_entries(other, &state.count);
+	zone_drains_merge(drains, &state, NOW_NS);
 }
 
 /* The state that has the last word on the zone; an empty one says nothing. */
@@ -226,11 +232,12 @@
 	}
 	ck_assert(zone_drains_is_active(drains, "a") == is_active);
 	ck_assert(zone_drains_is_active(other, "a") == is_active);
-	ck_assert_uint_eq(zone_drains_listed_revision(drains),
-			  zone_drains_listed_revision(other));
+	ck_assert_uint_eq(zone_drains_listed_position(drains).revision,
+			  zone_drains_listed_position(other).revision);
 	entries = zone_drains_entries(drains, &own_count);
 	if (own_count > 0)
-		state_check(other, "a", entries[0].revision, is_active);
+		state_check(other, "a", entries[0].position.revision,
+			    is_active);
 	zone_drains_entries(other, &other_count);
 	ck_assert_uint_eq(own_count, other_count);
 	zone_drains_destroy(drains);
@@ -262,16 +269,18 @@
 
 	for (uint32_t i = 0; i < ZONE_DRAINS_MAX + 8; i++) {
 		zone_print(i, cases[_i].length, zone);
-		accepted += zone_drains_set(drains, zone, 10 + i, true, NOW_NS);
+		accepted += zone_drains_set(drains, zone, position_at(10 + i),
+					    true, NOW_NS);
 	}
 	ck_assert_uint_eq(accepted, cases[_i].zones);
 	zone_drains_entries(drains, &count);
 	ck_assert_uint_eq(count, cases[_i].zones);
 	/* Withdrawn requests make room once a listing implies them. */
-	zone_drains_listing_begin(drains, 200);
+	zone_drains_listing_begin(drains, position_at(200));
 	zone_drains_listing_end(drains, NOW_NS);
 	zone_print(99, cases[_i].length, zone);
-	ck_assert(zone_drains_set(drains, zone, 300, true, NOW_NS));
+	ck_assert(
+		zone_drains_set(drains, zone, position_at(300), true, NOW_NS));
 	ck_assert_uint_eq(zone_drains_active_count(drains), 1);
 	zone_drains_destroy(drains);
 }
