--- a/include/standins/soak/soak.h
+++ b/include/standins/soak/soak.h
@@ -114,6 +114,7 @@
 	/* Separate from random, so that existing seeds draw the same faults. */
 	GRand *refusal_random;
 	GRand *zone_random;
+	GRand *restore_random;
 	const struct clock *clock;
 	int64_t started_ns;
 	char *directory;
@@ -138,9 +139,15 @@
 	/* Hosts that start are cold, and flows have one request each. */
 	bool has_cold_hosts;
 	uint64_t routes_version;
+	char *routes_text; /* as last published */
 	bool has_extra_route;
 	uint32_t idle_routes; /* published besides, without traffic */
 	int64_t routes_changed_ns;
+	/*
+	 * When the store was last away or restored. Unlike other faults of the
+	 * store, this excuses late changes only, not resets of open flows.
+	 */
+	int64_t store_restored_ns;
 	int64_t last_tick_ns; /* when the loop last ran */
 	uint64_t next_host_id;
 	uint64_t next_request;
@@ -184,6 +191,8 @@
 					 uint32_t flow_hash);
 struct soak_balancer *soak_balancer_find(struct soak *soak, uint32_t address);
 bool soak_is_undisturbed(const struct soak *soak, int64_t disturbed_ns);
+/** False if changes may be late because the store was restored. */
+bool soak_store_is_stable(const struct soak *soak);
 
 /* Hosts: hosts.c. */
 void soak_host_start(struct soak_host *host);
@@ -192,6 +201,8 @@
 void soak_host_withdraw(struct soak_host *host);
 struct soak_host *soak_host_find(struct soak *soak, uint64_t id);
 void soak_routes_publish(struct soak *soak, bool has_extra_route);
+/** The operator publishes the last version again. */
+void soak_routes_write_again(struct soak *soak, uint32_t index);
 
 /* Callers: callers.c. */
 void soak_callers_open(struct soak *soak, uint32_t count);
@@ -222,6 +233,8 @@
  */
 void soak_zone_drain(struct soak *soak);
 void soak_zone_drain_all(struct soak *soak);
+/** The operator publishes the request for the zone again, or its withdrawal. */
+void soak_zone_write_again(struct soak *soak, uint32_t index);
 /** Entries as large as the store takes, which name no host. */
 void soak_foreign_values_put(struct soak *soak);
 /** An entry at the address of each host, of a service without a route. */
@@ -232,6 +245,15 @@
 /** False if balancers may refuse new flows because all zones are drained. */
 bool soak_zones_accept_flows(const struct soak *soak);
 
+/* Restores of the store: restore.c. */
+/**
+ * The store is away for a moment and comes back from a copy. Hosts and the
+ * operator write again what they wrote since; entries of hosts that have ended
+ * expire.
+ */
+void soak_store_come_back(struct soak *soak);
+void soak_store_come_back_draw(struct soak *soak);
+
 /* Cold hosts: cold_hosts.c. */
 /** Remaining slow start time of @host in milliseconds, 0 if it is over. */
 int64_t soak_cold_remaining_ms(const struct soak_host *host);
--- a/parsleyladder/balancer_store.c
+++ b/parsleyladder/balancer_store.c
@@ -198,8 +198,9 @@
 	char *text = g_strescape(value, NULL);
 
 	(void)context;
-	log_event(LOG_LEVEL_WARNING, "store_era_missing",
-		  "value=\"%s\" assumed_era=%" PRIu64, text, era);
+	log_event(era == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+		  "store_era_missing", "value=\"%s\" assumed_era=%" PRIu64,
+		  text, era);
 	g_free(text);
 }
 
--- a/standins/soak/callers.c
+++ b/standins/soak/callers.c
@@ -200,6 +200,7 @@
 			    SOAK_ROUTES_BOUND_NS &&
 		    soak_zones_accept_flows(soak) &&
 		    soak_store_fault(soak->store) == STORE_HEALTHY &&
+		    soak_store_is_stable(soak) &&
 		    soak_is_undisturbed(soak,
 					caller->probed_balancer->disturbed_ns))
 			soak_violation_report(soak, CHECK_ROUTE_LATE,
--- a/standins/soak/faults.c
+++ b/standins/soak/faults.c
@@ -434,6 +434,7 @@
 	{ "zone-drain", soak_zone_drain, 0 },
 	{ "zone-drain-all", soak_zone_drain_all, 0 },
 	{ "cold-hosts", fault_cold_hosts, 0 },
+	{ "store-restored", soak_store_come_back, 0 },
 	{ "routes-many", fault_routes_many, 0 },
 	{ "reader-kill", fault_reader_kill, 0 },
 	{ "reader-return", fault_reader_return, 0 },
@@ -479,6 +480,7 @@
 	faults[i].inject(soak);
 	refusal_draw(soak);
 	zone_drain_draw(soak);
+	soak_store_come_back_draw(soak);
 }
 
 bool soak_fault_inject(struct soak *soak, const char *name)
--- a/standins/soak/fleet.c
+++ b/standins/soak/fleet.c
@@ -227,3 +227,8 @@
 	return disturbed_ns == 0 ||
 	       soak_now(soak) - disturbed_ns > SOAK_DISTURBANCE_NS;
 }
+
+bool soak_store_is_stable(const struct soak *soak)
+{
+	return soak_is_undisturbed(soak, soak->store_restored_ns);
+}
--- a/standins/soak/hosts.c
+++ b/standins/soak/hosts.c
@@ -42,7 +42,7 @@
 		host->is_draining ? "draining" : "ready",
 		soak_cold_remaining_ms(host), host->started_ms);
 
-	soak_store_put(host->soak->store, key, value);
+	soak_store_put_again(host->soak->store, key, value);
 	g_free(key);
 	g_free(value);
 }
@@ -186,7 +186,8 @@
 	struct soak *soak = host->soak;
 	bool is_undisturbed = sender &&
 			      soak_is_undisturbed(soak, sender->disturbed_ns) &&
-			      soak_store_fault(soak->store) == STORE_HEALTHY;
+			      soak_store_fault(soak->store) == STORE_HEALTHY &&
+			      soak_store_is_stable(soak);
 
 	if (!is_own_service(host, packet))
 		soak_violation_report(soak, CHECK_FOREIGN_SERVICE,
@@ -382,6 +383,12 @@
 			       name, port, service_names[0]);
 }
 
+void soak_routes_write_again(struct soak *soak, uint32_t index)
+{
+	(void)index;
+	soak_store_put_again(soak->store, "op/config", soak->routes_text);
+}
+
 void soak_routes_publish(struct soak *soak, bool has_extra_route)
 {
 	GString *text = g_string_new(NULL);
@@ -406,6 +413,7 @@
 	for (uint32_t i = 0; i < soak->idle_routes; i++)
 		route_print(text, "idle", SOAK_IDLE_ROUTE_PORT + i);
 	g_string_append(text, "],\"limits\":{\"idleTimeoutMs\":15000}}");
-	soak_store_put(soak->store, "op/config", text->str);
-	g_string_free(text, TRUE);
+	g_free(soak->routes_text);
+	soak->routes_text = g_string_free(text, FALSE);
+	soak_routes_write_again(soak, 0);
 }
--- a/standins/soak/main.c
+++ b/standins/soak/main.c
@@ -56,6 +56,7 @@
 	soak->refusal_random = g_rand_new_with_seed(soak->seed);
 	/* Another seed: drains are not tied to refusals. */
 	soak->zone_random = g_rand_new_with_seed(~soak->seed);
+	soak->restore_random = g_rand_new_with_seed(soak->seed ^ 0x5707e);
 	soak->next_zone_drain =
 		(uint32_t)g_rand_int_range(soak->zone_random, 0, SOAK_ZONES);
 	soak->subnet = 16 + soak->seed % 200;
@@ -219,6 +220,8 @@
 	g_rand_free(soak->random);
 	g_rand_free(soak->refusal_random);
 	g_rand_free(soak->zone_random);
+	g_rand_free(soak->restore_random);
+	g_free(soak->routes_text);
 	g_free(soak->directory);
 }
 
--- a/standins/soak/zones.c
+++ b/standins/soak/zones.c
@@ -13,6 +13,17 @@
 	return g_strdup_printf("op/evacuate/%s", soak_zone_names[zone]);
 }
 
+void soak_zone_write_again(struct soak *soak, uint32_t index)
+{
+	char *key = drain_key(index);
+
+	if (soak->zones[index].drains > 0)
+		soak_store_put_again(soak->store, key, "{}");
+	else
+		soak_store_delete(soak->store, key);
+	g_free(key);
+}
+
 /* The request stands until each fault that drains the zone has ended. */
 static void drain_begin(struct soak *soak, uint32_t index)
 {
--- a/tests/sharing/network.h
+++ b/tests/sharing/network.h
@@ -134,6 +134,8 @@
 uint32_t network_synced_count(const struct network *network, uint64_t revision);
 /** Number of nodes that are up and have all that is published. */
 uint32_t network_current_count(const struct network *network);
+/** Prints what a node knows, and whom it follows. */
+void network_node_print(const struct network *network, uint32_t index);
 /** True if the node knows all hosts, any routes and, if it can, the drains. */
 bool network_node_is_synced(const struct node *node);
 /**
--- a/tests/sharing/network_state.c
+++ b/tests/sharing/network_state.c
@@ -1,4 +1,6 @@
 #include <check.h>
+#include <inttypes.h>
+#include <stdio.h>
 
 #include "network.h"
 
@@ -54,3 +56,26 @@
 {
 	return network_synced_count(network, network->store_position.revision);
 }
+
+void network_node_print(const struct network *network, uint32_t index)
+{
+	const struct node *node = &network->nodes[index];
+	const struct routing *routing = steering_routing(node->steering);
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	sharing_print_json(node->sharing, builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	printf("node %u: revision=%" PRIu64 " of %" PRIu64
+	       " routes_version=%" PRIu64 " of %" PRIu64 " sharing=%s\n",
+	       index, node->replica_status.position.revision,
+	       network->store_position.revision, routing ? routing->version : 0,
+	       network->routing->version, text);
+	g_free(text);
+	json_node_unref(root);
+	g_object_unref(builder);
+}
