Ignore an entry whose key is no text, not the whole response

Cause: the key was read as a C text. One that cannot be read made the whole response of the store malformed, with each repetition.

Change: keys are read as bytes. The response itself may hold strings that are not UTF-8. An entry without an id is ignored, too: members refused the update that held its removal.

--- a/configuration/json_slice.c
+++ b/configuration/json_slice.c
@@ -161,11 +161,18 @@
 
 bool json_slice_check(const char *data, size_t length,
 		      struct json_slice *object)
+{
+	return length > 0 && g_utf8_validate(data, (gssize)length, NULL) &&
+	       json_slice_check_structure(data, length, object);
+}
+
+bool json_slice_check_structure(const char *data, size_t length,
+				struct json_slice *object)
 {
 	struct check check = { .depth_max = length / 2 };
 	bool is_valid;
 
-	if (length == 0 || !g_utf8_validate(data, (gssize)length, NULL))
+	if (length == 0)
 		return false;
 	check.position = data;
 	check.end = data + length;
@@ -319,6 +326,7 @@
 	char *text;
 	size_t size;
 	size_t length;
+	bool accepts_any; /* NUL, and halves of surrogate pairs */
 };
 
 static bool bytes_append(struct decoder *decoder, const char *bytes,
@@ -355,6 +363,20 @@
 	       memcmp(decoder->position, "\\u", 2) == 0;
 }
 
+/* Reads the low surrogate after the high one; false if none follows. */
+static bool low_surrogate_read(struct decoder *decoder, gunichar *low)
+{
+	const char *start = decoder->position;
+
+	if (!is_unit_escape(decoder))
+		return false;
+	decoder->position += 2;
+	if (unit_read(decoder, low) && *low >= 0xdc00 && *low <= 0xdfff)
+		return true;
+	decoder->position = start;
+	return false;
+}
+
 /* One character, or the two UTF-16 surrogates of one. */
 static bool unicode_read(struct decoder *decoder, gunichar *character)
 {
@@ -364,11 +386,8 @@
 		return false;
 	if (*character < 0xd800 || *character > 0xdfff)
 		return true;
-	if (*character > 0xdbff || !is_unit_escape(decoder))
-		return false;
-	decoder->position += 2;
-	if (!unit_read(decoder, &low) || low < 0xdc00 || low > 0xdfff)
-		return false;
+	if (*character > 0xdbff || !low_surrogate_read(decoder, &low))
+		return decoder->accepts_any;
 	*character = 0x10000 + ((*character - 0xd800) << 10) + (low - 0xdc00);
 	return true;
 }
@@ -378,7 +397,8 @@
 	gunichar character;
 	char bytes[6];
 
-	if (!unicode_read(decoder, &character) || character == 0)
+	if (!unicode_read(decoder, &character) ||
+	    (character == 0 && !decoder->accepts_any))
 		return false;
 	return bytes_append(decoder, bytes,
 			    (size_t)g_unichar_to_utf8(character, bytes));
@@ -414,17 +434,35 @@
 	return true;
 }
 
+static bool slice_decode(struct json_slice value, struct decoder *decoder)
+{
+	if (!json_slice_is_string(value))
+		return false;
+	decoder->position = value.start + 1;
+	decoder->end = value.start + value.length - 1;
+	if (!string_decode(decoder))
+		return false;
+	decoder->text[decoder->length] = '\0';
+	return true;
+}
+
 bool json_slice_text(struct json_slice value, char *text, size_t size)
 {
 	struct decoder decoder = { .text = text, .size = size };
 
-	if (!json_slice_is_string(value))
-		return false;
-	decoder.position = value.start + 1;
-	decoder.end = value.start + value.length - 1;
-	if (!string_decode(&decoder))
+	return slice_decode(value, &decoder);
+}
+
+bool json_slice_bytes(struct json_slice value, char *bytes, size_t size,
+		      size_t *length)
+{
+	struct decoder decoder = { .text = bytes,
+				   .size = size,
+				   .accepts_any = true };
+
+	if (!slice_decode(value, &decoder))
 		return false;
-	text[decoder.length] = '\0';
+	*length = decoder.length;
 	return true;
 }
 
--- a/include/configuration/json_slice.h
+++ b/include/configuration/json_slice.h
@@ -35,6 +35,9 @@
  */
 bool json_slice_check(const char *data, size_t length,
 		      struct json_slice *object);
+/** The same, but strings may hold any bytes; their readers have to check them. */
+bool json_slice_check_structure(const char *data, size_t length,
+				struct json_slice *object);
 
 /* The functions below require values of a checked text. */
 
@@ -55,6 +58,12 @@
  * not a string, does not fit, or contains a NUL or an invalid escape.
  */
 bool json_slice_text(struct json_slice value, char *text, size_t size);
+/**
+ * The same for a string of any bytes: NUL is kept, and so is half of a surrogate
+ * pair, as the three bytes of its code point.
+ */
+bool json_slice_bytes(struct json_slice value, char *bytes, size_t size,
+		      size_t *length);
 /** False if @value is not an integer of @min to @max. */
 bool json_slice_integer(struct json_slice value, int64_t min, int64_t max,
 			int64_t *integer);
--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -28,7 +28,7 @@
 
 struct store_item {
 	enum store_item_kind kind;
-	char *key;
+	char *key; /* what is no text in it is replaced */
 	struct store_position position;
 	/* Of an entry that names no host, only id and position are valid. */
 	struct host_announcement host;
@@ -45,7 +45,8 @@
 	GArray *items; /* struct store_item */
 	struct store_position position; /* of the store when it responded */
 	bool has_more; /* the next page starts after the last key */
-	char *last_key; /* NULL if there are no items */
+	/* As it is in the store, which may be any bytes; NULL for no items. */
+	GBytes *last_key;
 };
 
 /**
--- a/tests/platform/test_items.c
+++ b/tests/platform/test_items.c
@@ -319,6 +319,69 @@
 }
 END_TEST
 
+/*
+ * Guards against one entry of another program that hides all others, because its
+ * key is no text (review case 13).
+ */
+START_TEST(key_that_is_no_text_spoils_no_other_entry) {
+	static const struct {
+		const char *key;
+		const char *bytes; /* as the next page is asked for */
+		size_t length;
+	} cases[] = {
+		{ "servers/i-7\\u0000x", "servers/i-7\0x", 13 },
+		{ "servers/i-7\\u0000", "servers/i-7\0", 12 },
+		{ "\\u0000", "\0", 1 },
+		{ "op/evacuate/a\\u0000", "op/evacuate/a\0", 14 },
+		{ "op/config\\u0000", "op/config\0", 10 },
+		{ "servers/\\ud800", "servers/\xed\xa0\x80", 11 },
+		{ "servers/\\udc00x", "servers/\xed\xb0\x80x", 12 },
+		{ "servers/\\ud800\\u0041",
+		  "servers/\xed\xa0\x80"
+		  "A",
+		  12 },
+		{ "servers/\xff", "servers/\xff", 9 },
+		{ "servers/", "servers/", 8 },
+	};
+	static const char valid[] = HOST(",\"state\":\"ready\"");
+	char *value = g_base64_encode((const guchar *)valid, strlen(valid));
+	bool is_deleted = _i >= 10;
+	const char *key = cases[_i % 10].key;
+	char *other = is_deleted ? g_strdup("\"deleted\":true")
+				 : g_strdup_printf("\"value\":\"%s\"", value);
+	char *text = g_strdup_printf(
+		"{\"events\":[{\"key\":\"servers/i-1\",\"value\":\"%s\","
+		"\"revision\":4},{\"key\":\"%s\",%s,\"revision\":5},"
+		"{\"key\":\"servers/i-2\",\"value\":\"%s\",\"revision\":6},"
+		"{\"key\":\"%s\",%s,\"revision\":7}],\"currentRev\":7}",
+		value, key, other, value, key, other);
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+	struct error error = { 0 };
+	struct store_response *response = store_response_parse(body, 0, &error);
+
+	ck_assert_ptr_nonnull(response);
+	ck_assert_uint_eq(response->items->len, 4);
+	for (guint i = 0; i < 4; i++) {
+		const struct store_item *item =
+			&g_array_index(response->items, struct store_item, i);
+
+		ck_assert_int_eq(item->kind, i % 2 == 0 ? STORE_ITEM_HOST
+							: STORE_ITEM_IGNORED);
+		ck_assert_uint_eq(item->position.revision, 4 + i);
+		if (i % 2 == 1)
+			ck_assert_uint_eq(strlen(item->host.id), 0);
+	}
+	ck_assert_uint_eq(g_bytes_get_size(response->last_key),
+			  cases[_i % 10].length);
+	ck_assert_mem_eq(g_bytes_get_data(response->last_key, NULL),
+			 cases[_i % 10].bytes, cases[_i % 10].length);
+	store_response_free(response);
+	g_bytes_unref(body);
+	g_free(other);
+	g_free(value);
+}
+END_TEST
+
 START_TEST(responses_are_validated) {
 	static const struct {
 		const char *body;
@@ -378,6 +441,8 @@
 	tcase_add_test(cases, fields_of_a_host_are_read);
 	tcase_add_test(cases, split_routes_follow_their_weights);
 	tcase_add_loop_test(cases, zone_of_a_drain_is_read, 0, 9);
+	tcase_add_loop_test(cases, key_that_is_no_text_spoils_no_other_entry, 0,
+			    20);
 	tcase_add_loop_test(cases, responses_are_validated, 0, 8);
 	tcase_add_test(cases, empty_response_is_rejected);
 	suite_add_tcase(suite, cases);
