Keep the end of a slow start over a restore of the store

Cause: an announcement with a new position sets the slow start anew from its entry. After a restore all positions are new, and the entry in the copy may be from the slow start of a host that is warm by now, so such hosts would have got few flows for that long. Found by reading.

Change: for a process that was known before, the earlier of both ends applies.

Measured: slow_start_does_not_begin_again fails without the change for the host that did not restart (1 of 2 checks), and passes with it.

--- a/steering/host_restore.c
+++ b/steering/host_restore.c
@@ -16,11 +16,26 @@
 	       announcement->started_ms < host->published.started_ms;
 }
 
-static bool is_leaving(const struct known_host *host,
-		       const struct host_announcement *announcement)
+static bool is_same_lifetime(const struct known_host *host,
+			     const struct host_announcement *announcement)
 {
-	return announcement->started_ms == host->published.started_ms &&
-	       (host->is_removed || host->published.is_draining);
+	return host->published.service[0] != '\0' &&
+	       announcement->started_ms == host->published.started_ms;
+}
+
+/* The copy tells of a slow start that may have ended since. */
+static void known_host_put(struct host_table *table, struct known_host *host,
+			   const struct host_announcement *announcement,
+			   int64_t now_ns)
+{
+	bool was_leaving = host->is_removed || host->published.is_draining;
+	int64_t slow_start_until_ns = host->slow_start_until_ns;
+
+	host_put(table, announcement, now_ns);
+	host->slow_start_until_ns =
+		MIN(host->slow_start_until_ns, slow_start_until_ns);
+	if (was_leaving && !host->published.is_draining)
+		wait_begin(table, &host->withheld_until_ns, now_ns);
 }
 
 void host_restore_put(struct host_table *table,
@@ -28,15 +43,12 @@
 		      int64_t now_ns)
 {
 	struct known_host *host = host_table_find(table, announcement->id);
-	bool was_leaving = host && is_leaving(host, announcement);
-
-	if (host && is_earlier_lifetime(host, announcement)) {
+	if (host && is_earlier_lifetime(host, announcement))
 		host->published.position = announcement->position;
-		return;
-	}
-	host_put(table, announcement, now_ns);
-	if (was_leaving && !host->published.is_draining)
-		wait_begin(table, &host->withheld_until_ns, now_ns);
+	else if (host && is_same_lifetime(host, announcement))
+		known_host_put(table, host, announcement, now_ns);
+	else
+		host_put(table, announcement, now_ns);
 }
 
 void host_restore_finish(struct host_table *table, struct known_host *host,
--- a/tests/steering/test_store_restore.c
+++ b/tests/steering/test_store_restore.c
@@ -261,6 +261,28 @@
 }
 END_TEST
 
+/*
+ * Guards against limits of hosts that are warm: their entries in the copy may be
+ * from their slow start.
+ */
+START_TEST(slow_start_does_not_begin_again) {
+	struct host_listing *listing =
+		host_listing_create(position_in(ERA + 1, COPY_REVISION));
+	struct host_announcement host = announcement(
+		HOST, _i == 0 ? READY : LATER, position_in(ERA + 1, 100));
+
+	host_know(READY);
+	time_pass(1000);
+	host.slow_start_ms = 8000;
+	host_listing_put(listing, table(), &host, fixture.clock.now_ns);
+	host_listing_finish(listing, table(), fixture.clock.now_ns);
+	host_listing_destroy(listing);
+	/* Only a host that has started again is slow. */
+	ck_assert((fixture_host(&fixture, HOST)->slow_start_until_ns >
+		   fixture.clock.now_ns) == (_i == 1));
+}
+END_TEST
+
 /* Guards against positions of the former era that outweigh later changes. */
 START_TEST(second_restore_within_the_wait_counts_as_well) {
 	host_know(DRAINING);
@@ -407,6 +429,7 @@
 		cases, listing_of_a_new_era_has_no_effect_until_it_is_whole, 0,
 		count);
 	tcase_add_loop_test(cases, open_flows_survive_a_restore, 0, 7);
+	tcase_add_loop_test(cases, slow_start_does_not_begin_again, 0, 2);
 	tcase_add_test(cases, second_restore_within_the_wait_counts_as_well);
 	count = G_N_ELEMENTS(drain_restores);
 	tcase_add_loop_test(
