--- a/include/steering/host_health.h
+++ b/include/steering/host_health.h
@@ -119,9 +119,9 @@
 
 /**
  * Records the result of a probe, which may eject the host; true if it shows that
- * the host is down, or still is. A host that accepts a connection is up, but may still not
- * respond on its flows. Timeouts count only if @is_path_open: otherwise the
- * network around this balancer may be the cause.
+ * the host is down, or still is. A host that accepts a connection is up, but may
+ * still not respond on its flows. Timeouts count only if @is_path_open:
+ * otherwise the network around this balancer may be the cause.
  */
 bool health_probe_end(struct host_health *health, enum probe_result result,
 		      bool is_path_open, int64_t now_ns);
