Parse only the highest version of the configuration in a response

Change: of several versions in one response only the highest valid one is parsed; the others are only asked for their version, in place. Hosts and drained zones take effect before it. A lower version after a higher one hides nothing.

--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -25,6 +25,7 @@
 /** Key prefixes of the hosts, and of what the operator publishes. */
 #define STORE_HOST_PREFIX "servers/"
 #define STORE_OPERATOR_PREFIX "op/"
+#define STORE_CONFIGURATION_KEY STORE_OPERATOR_PREFIX "config"
 
 struct store_item {
 	enum store_item_kind kind;
@@ -42,7 +43,11 @@
 };
 
 struct store_response {
-	GArray *items; /* struct store_item */
+	/*
+	 * struct store_item; of several versions of the configuration, the
+	 * highest valid one, after all others.
+	 */
+	GArray *items;
 	struct store_position position; /* of the store when it responded */
 	bool has_more; /* the next page starts after the last key */
 	/* As it is in the store, which may be any bytes; NULL for no items. */
