Do not take pushes that waited for refusals of an encoding

Cause: a follower that gets three updates without a chunk while it waits for the first one concludes that its leader does not know the extended encoding. After a pause, all pushes that waited are handled before any response. It then asks for the plain encoding for 30 s, and partial routes keep it from watching the store from its replica's position when it becomes the reader.

Change: refusals count only if the transfer is 100 ms old. A leader of the build without the extended encoding is found out with the next poll.

--- a/sharing/sharing_routes.c
+++ b/sharing/sharing_routes.c
@@ -170,6 +170,8 @@
 		return false;
 	if (++transfer->refusals < EXTENDED_REFUSALS_MAX)
 		return true;
+	if (now_ns - transfer->progress_ns < EXTENDED_REFUSAL_MIN_NS)
+		return false;
 	extended_refuse(sharing, source, now_ns);
 	routes_drop(sharing, "plain_only");
 	if (version <= routes_version(sharing))
--- a/sharing/sharing_state.h
+++ b/sharing/sharing_state.h
@@ -37,6 +37,11 @@
  * one alone proves nothing.
  */
 #define EXTENDED_REFUSALS_MAX 3
+/**
+ * They count if the transfer is at least that old: after a pause, pushes that
+ * waited are handled all at once, before any response.
+ */
+#define EXTENDED_REFUSAL_MIN_NS (100 * NS_PER_MS)
 /**
  * After that, the extended encoding is not requested from the member for this
  * long. The member may have been replaced by a newer version since.
--- a/tests/sharing/test_encodings.c
+++ b/tests/sharing/test_encodings.c
@@ -163,6 +163,34 @@
 }
 END_TEST
 
+/*
+ * Guards against routes without attributes after a pause: the pushes that waited
+ * are handled all at once, and are no refusals of the extended encoding.
+ */
+START_TEST(pushes_after_a_pause_are_no_refusals) {
+	struct node *reader = network_find_reader(&network, 0);
+	uint32_t follower =
+		(network_node_index(&network, reader) + ZONES) % NODES;
+	struct sharing_message push = {
+		.kind = SHARING_UPDATE,
+		.zone = zone_hash(reader->zone),
+		.has_era = true,
+		.position = reader->replica_status.position,
+		.routes_version = 2,
+	};
+	GByteArray *bytes = sharing_message_encode(&push);
+
+	network_publish_routes(&network, 2, ROUTES / 2);
+	for (int i = 0; i < 8; i++)
+		sharing_handle_datagram(network.nodes[follower].sharing,
+					reader->address, bytes->data,
+					bytes->len);
+	network_run(&network, APPLY_MS);
+	ck_assert(routing_is_published(node_routing(follower)));
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
 /*
  * Guards against a balancer of a new version that starts late because all
  * members are of the previous version, and the store refuses it.
@@ -217,6 +245,7 @@
 	tcase_add_loop_test(cases, lost_datagrams_lose_no_attributes, 0,
 			    LOSS_RUNS);
 	tcase_add_test(cases, follower_of_a_plain_leader_gets_routes);
+	tcase_add_test(cases, pushes_after_a_pause_are_no_refusals);
 	tcase_add_test(cases, start_among_previous_versions_takes_no_longer);
 	tcase_add_test(cases, store_reader_completes_partial_routes);
 	suite_add_tcase(suite, cases);
