--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 
 #include "platform/datagram.h"
-#include "platform/items.h"
+#include "platform/store_response.h"
 
 /* NOLINTNEXTLINE(readability-identifier-naming): name set by libFuzzer. */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
--- a/include/platform/items.h
+++ b/include/platform/items.h
@@ -2,7 +2,7 @@
 #define PARSLEYLADDER_PLATFORM_ITEMS_H
 
 /**
- * Decodes the responses of the platform's store into the types of the balancer.
+ * Decodes the entries of the platform's store into the types of the balancer.
  */
 
 #include <glib.h>
@@ -42,31 +42,20 @@
 	char *problem; /* why the value is invalid, or NULL */
 };
 
-struct store_response {
-	/*
-	 * struct store_item; of several versions of the configuration, the
-	 * highest valid one, after all others.
-	 */
-	GArray *items;
-	struct store_position position; /* of the store when it responded */
-	bool has_more; /* the next page starts after the last key */
-	/* As it is in the store, which may be any bytes; NULL for no items. */
-	GBytes *last_key;
-};
-
-/**
- * Parses a response of the store in this era. Returns NULL and fills @error
- * (ERROR_PLATFORM) if the body is malformed.
- */
-struct store_response *store_response_parse(GBytes *body, uint64_t era,
-					    struct error *error);
-void store_response_free(struct store_response *response);
 /**
  * Parses the value that the operator or a host wrote at @key. Always fills
  * @item; an invalid value makes it STORE_ITEM_IGNORED with a problem.
  */
 void store_item_parse(const char *key, const char *value, size_t length,
 		      struct store_position position, struct store_item *item);
+/** Parses the deletion of the entry at @key. */
+void store_item_parse_removal(const char *key, struct store_position position,
+			      struct store_item *item);
+/** An item that is ignored: one whose value is not of interest, or unreadable. */
+void store_item_init(struct store_item *item, const char *key,
+		     struct store_position position);
+/** False for keys of other programs. */
+bool store_key_is_used(const char *key);
 void store_item_clear(struct store_item *item);
 
 #endif
--- a/tests/platform/test_foreign_values.c
+++ b/tests/platform/test_foreign_values.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <sys/resource.h>
 
-#include "platform/items.h"
+#include "platform/store_response.h"
 #include "position.h"
 #include "suite.h"
 
--- a/tests/platform/test_routing_events.c
+++ b/tests/platform/test_routing_events.c
@@ -7,7 +7,7 @@
 #include <check.h>
 #include <string.h>
 
-#include "platform/items.h"
+#include "platform/store_response.h"
 #include "position.h"
 #include "suite.h"
 
