Compare the base of an update as a position, too

Cause: one comparison of bare revisions was left, in is_contiguous(). Both are of one era there, so nothing went wrong.

--- a/parsleyladder/balancer_sharing.c
+++ b/parsleyladder/balancer_sharing.c
@@ -102,7 +102,7 @@
 		  is_store_reader, reason, replica_status->position.revision,
 		  replica_status->position.era, age_ns / NS_PER_MS,
 		  balancer_routes_version(balancer));
-	if (is_store_reader && watched.revision != 0)
+	if (is_store_reader && !store_position_is_none(watched))
 		store_set_position(balancer->store, watched);
 	store_set_following(balancer->store, is_store_reader);
 	/* An interrupted listing starts again from its first page. */
--- a/sharing/sharing_follow.c
+++ b/sharing/sharing_follow.c
@@ -84,17 +84,18 @@
 	}
 }
 
-/*
- * True if @update leaves out no change after those that the replica has. Both
- * are of one era.
- */
+/* True if @update leaves out no change after those that the replica has. */
 static bool is_contiguous(const struct sharing *sharing, uint32_t address,
 			  const struct sharing_message *update)
 {
 	const char *cursor = changes_cursor(sharing, address);
+	const struct store_position base = {
+		.era = update->position.era,
+		.revision = update->base_revision,
+	};
 
-	return update->base_revision <=
-		       sharing->options.replica_status->position.revision ||
+	return !store_position_is_before(
+		       sharing->options.replica_status->position, base) ||
 	       (*cursor != '\0' && update->base_revision == page_id(cursor));
 }
 
