End the wait of an earlier restore when a later listing has the host

Cause: a host that the listing of one restore lacked was removed after 2 s even if the listing of a second restore, in that time, had it again, but as a process that started earlier or with an entry that cannot be read. Found by reading. A zone that was kept drained by one restore now starts its 2 s anew with the next.

Measured: listed_host_is_not_removed_by_an_earlier_restore, 2 of 3 checks fail without the change.

--- a/steering/host_restore.c
+++ b/steering/host_restore.c
@@ -43,6 +43,7 @@
 		      int64_t now_ns)
 {
 	struct known_host *host = host_table_find(table, announcement->id);
+
 	if (host && is_earlier_lifetime(host, announcement))
 		host->published.position = announcement->position;
 	else if (host && is_same_lifetime(host, announcement))
@@ -58,6 +59,9 @@
 	bool is_later = store_position_is_before(position,
 						 host_announced_position(host));
 
+	/* An earlier restore may have lacked it. */
+	if (is_listed)
+		host->unlisted_until_ns = 0;
 	if (host->is_removed) {
 		host->removed_position = position;
 	} else if (!is_listed && !is_later) {
--- a/steering/zone_drains.c
+++ b/steering/zone_drains.c
@@ -225,7 +225,7 @@
 			g_array_remove_index(drains->entries, i);
 			continue;
 		}
-		if (entry->is_active && !entry->is_listed) {
+		if (!entry->is_active || !entry->is_listed) {
 			entry->is_active = false;
 			entry->kept_until_ns = now_ns + STORE_REWRITE_NS;
 		}
--- a/tests/steering/test_store_restore.c
+++ b/tests/steering/test_store_restore.c
@@ -261,6 +261,20 @@
 }
 END_TEST
 
+/* Guards against a wait of an earlier restore that a later listing has ended. */
+START_TEST(listed_host_is_not_removed_by_an_earlier_restore) {
+	static const enum entry listed[] = { READY, EARLIER, UNREADABLE };
+
+	host_know(READY);
+	listing_apply(ERA + 1, COPY_REVISION, ABSENT);
+	time_pass(1000);
+	listing_apply(ERA + 2, COPY_REVISION, listed[_i]);
+	time_pass(3000);
+	ck_assert(!fixture_host(&fixture, HOST)->is_removed);
+	ck_assert(host_is_used());
+}
+END_TEST
+
 /*
  * Guards against limits of hosts that are warm: their entries in the copy may be
  * from their slow start.
@@ -429,6 +443,8 @@
 		cases, listing_of_a_new_era_has_no_effect_until_it_is_whole, 0,
 		count);
 	tcase_add_loop_test(cases, open_flows_survive_a_restore, 0, 7);
+	tcase_add_loop_test(
+		cases, listed_host_is_not_removed_by_an_earlier_restore, 0, 3);
 	tcase_add_loop_test(cases, slow_start_does_not_begin_again, 0, 2);
 	tcase_add_test(cases, second_restore_within_the_wait_counts_as_well);
 	count = G_N_ELEMENTS(drain_restores);
